--- /dev/null
+++ b/crates/admission/src/floor.rs
@@ -0,0 +1,285 @@
+//! The backend servers that an entry may use, and the work that it has given them.
+
+use crate::cold::ColdGate;
+use fleet::{Engine, GroupName, Manifest, Replica, RoutingView};
+use model::ids::{DomainId, HostId, ModelId, ServiceId};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// How long a backend server that could not be reached gets nothing.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(1000);
+/// How long a backend server that was full gets nothing.
+const FULL_PAUSE: Duration = Duration::from_millis(50);
+/// Requests of a plain service that wait at one of its replicas, per running one.
+const PLAIN_QUEUE: usize = 1;
+/// Shortest time after which a refused caller should come back.
+const RETRY_MIN: Duration = Duration::from_millis(100);
+
+/// What a request needs.
+#[derive(Debug, Clone)]
+pub struct Wish {
+    /// The service.
+    pub service: ServiceId,
+    /// The model, for a service with engines.
+    pub model: Option<ModelId>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Most tokens of the answer.
+    pub answer_tokens: u64,
+    /// Backend servers that have failed this request.
+    pub avoid: Vec<HostId>,
+}
+
+/// A backend server for a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Choice {
+    /// The backend server.
+    pub replica: Replica,
+    /// Gives its place back.
+    pub ticket: Ticket,
+}
+
+/// A place of a request at a backend server.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket {
+    host: HostId,
+    number: u64,
+}
+
+/// Why no backend server takes a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refused {
+    /// No backend server offers what the request needs.
+    Nobody,
+    /// All places are taken; one is expected after this time.
+    Full(Duration),
+}
+
+#[derive(Debug)]
+struct Work {
+    prompt_tokens: u64,
+    sent: Instant,
+    first_event: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct Place {
+    replica: Replica,
+    cold_until: Instant,
+    cold: ColdGate,
+    avoid_until: Option<Instant>,
+    work: BTreeMap<u64, Work>,
+    progress: Option<Instant>,
+}
+
+/// The backend servers that an entry may use.
+#[derive(Debug, Default)]
+pub struct Floor {
+    manifest: Option<Arc<Manifest>>,
+    places: BTreeMap<HostId, Place>,
+    /// Entries that share the backend servers, this one included.
+    entries: usize,
+    domain: DomainId,
+    next: u64,
+}
+
+impl Floor {
+    /// An entry's floor; `domain` is its own failure domain.
+    pub fn new(domain: DomainId) -> Floor {
+        Floor { entries: 1, domain, ..Floor::default() }
+    }
+
+    /// Takes a new manifest.
+    pub fn set_manifest(&mut self, manifest: Arc<Manifest>) {
+        self.manifest = Some(manifest);
+    }
+
+    /// Takes a new view.
+    pub fn set_view(&mut self, view: RoutingView, now: Instant) {
+        self.entries = view.entries.len().max(1);
+        let named: BTreeSet<HostId> = view.replicas.iter().map(|r| r.host.clone()).collect();
+        self.places.retain(|host, _| named.contains(host));
+        for replica in view.replicas {
+            let cold_until = now + replica.cold;
+            match self.places.get_mut(&replica.host) {
+                Some(place) if place.replica.group == replica.group => {
+                    place.replica = replica;
+                    place.cold_until = cold_until;
+                }
+                _ => {
+                    let place = Place {
+                        cold_until,
+                        replica: replica.clone(),
+                        cold: ColdGate::default(),
+                        avoid_until: None,
+                        work: BTreeMap::new(),
+                        progress: None,
+                    };
+                    self.places.insert(replica.host, place);
+                }
+            }
+        }
+    }
+
+    /// Chooses a backend server, and takes a place there.
+    ///
+    /// # Errors
+    ///
+    /// Fails if none can take the request now.
+    pub fn choose(&mut self, wish: &Wish, now: Instant) -> Result<Choice, Refused> {
+        let Some(manifest) = self.manifest.clone() else {
+            return Err(Refused::Nobody);
+        };
+        let Some(service) = manifest.service(&wish.service) else {
+            return Err(Refused::Nobody);
+        };
+        let cold_share = service.cold.per_s / self.entries as f64;
+        let mut offered = false;
+        let mut best: Option<(f64, HostId)> = None;
+        let entries = self.entries;
+        for place in self.places.values_mut() {
+            if !place.offers(wish) {
+                continue;
+            }
+            offered = true;
+            let cold = place.cold_until > now;
+            if place.avoid_until.is_some_and(|until| until > now)
+                || (cold && !place.cold.has_room(cold_share.max(1.0), now))
+                || !place.has_room(service.engine.as_ref(), entries)
+            {
+                continue;
+            }
+            let mut load = place.load(service.engine.as_ref());
+            if cold {
+                load += 1.0;
+            }
+            if place.replica.domain != self.domain {
+                load += FAR_LOAD;
+            }
+            if best.as_ref().is_none_or(|(other, _)| load < *other) {
+                best = Some((load, place.replica.host.clone()));
+            }
+        }
+        let Some((_, host)) = best else {
+            return Err(if offered { Refused::Full(RETRY_MIN) } else { Refused::Nobody });
+        };
+        self.next += 1;
+        let number = self.next;
+        let place = self.places.get_mut(&host).expect("it was just found");
+        if place.cold_until > now {
+            place.cold.note(now);
+        }
+        let work = Work { prompt_tokens: wish.prompt_tokens, sent: now, first_event: None };
+        place.work.insert(number, work);
+        Ok(Choice { replica: place.replica.clone(), ticket: Ticket { host, number } })
+    }
+
+    /// Notes an event of a stream, or an answer.
+    pub fn progress(&mut self, ticket: &Ticket, now: Instant) {
+        if let Some(place) = self.places.get_mut(&ticket.host) {
+            place.progress = Some(now);
+            if let Some(work) = place.work.get_mut(&ticket.number) {
+                work.first_event.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Gives a place back.
+    pub fn finish(&mut self, ticket: &Ticket) {
+        if let Some(place) = self.places.get_mut(&ticket.host) {
+            place.work.remove(&ticket.number);
+        }
+    }
+
+    /// Notes that a backend server can't be reached.
+    pub fn unreachable(&mut self, host: &HostId, now: Instant) {
+        self.avoid(host, now + UNREACHABLE_PAUSE);
+    }
+
+    /// Notes that a backend server was full.
+    pub fn full(&mut self, host: &HostId, now: Instant) {
+        self.avoid(host, now + FULL_PAUSE);
+    }
+
+    fn avoid(&mut self, host: &HostId, until: Instant) {
+        if let Some(place) = self.places.get_mut(host) {
+            place.avoid_until = Some(until);
+        }
+    }
+
+    /// Groups whose head answered within `within`.
+    pub fn alive(&self, within: Duration, now: Instant) -> Vec<GroupName> {
+        let recent = |place: &&Place| {
+            place.progress.is_some_and(|at| now.saturating_duration_since(at) <= within)
+        };
+        let groups = self.places.values().filter(recent);
+        groups
+            .filter_map(|place| place.replica.group.as_ref())
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
+    /// Groups that have had work of this entry for at least `after`, and whose head has
+    /// produced nothing in that time.
+    pub fn stalled(&self, after: Duration, now: Instant) -> Vec<GroupName> {
+        let stuck = |place: &&Place| {
+            let quiet = place.progress.is_none_or(|at| now.saturating_duration_since(at) >= after);
+            let oldest = place.work.values().map(|work| work.sent).min();
+            let waits = oldest.is_some_and(|at| now.saturating_duration_since(at) >= after);
+            quiet && waits
+        };
+        let groups = self.places.values().filter(stuck);
+        groups
+            .filter_map(|place| place.replica.group.as_ref())
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
+    /// The number of requests under way, by backend server.
+    pub fn work(&self) -> impl Iterator<Item = (&HostId, usize)> {
+        self.places.iter().map(|(host, place)| (host, place.work.len()))
+    }
+}
+
+/// What a backend server in another failure domain counts as more loaded than a near one,
+/// in requests.
+const FAR_LOAD: f64 = 0.5;
+
+impl Place {
+    fn offers(&self, wish: &Wish) -> bool {
+        self.replica.service == wish.service
+            && !wish.avoid.contains(&self.replica.host)
+            && match (&self.replica.group, &wish.model) {
+                (Some((_, model)), Some(wanted)) => model == wanted,
+                (None, _) => true,
+                (Some(_), None) => true,
+            }
+    }
+
+    /// Whether this entry's part of the places has room.
+    fn has_room(&self, engine: Option<&Engine>, entries: usize) -> bool {
+        let slots = match engine {
+            Some(engine) => engine.slots as usize,
+            None => self.replica.slots as usize * (1 + PLAIN_QUEUE),
+        };
+        self.work.len() < slots.div_ceil(entries).max(1)
+    }
+
+    /// Running requests, with prompts that are still to be read counted by their length.
+    fn load(&self, engine: Option<&Engine>) -> f64 {
+        let running = self.work.len() as f64;
+        let Some(engine) = engine else {
+            return running;
+        };
+        let unread: u64 = self
+            .work
+            .values()
+            .filter(|work| work.first_event.is_none())
+            .map(|work| work.prompt_tokens)
+            .sum();
+        running + unread as f64 / f64::from(engine.chunk)
+    }
+}
--- a/crates/base/src/logs.rs
+++ b/crates/base/src/logs.rs
@@ -8,11 +8,22 @@
 ///
 /// A second call in the same process has no effect.
 pub fn start() {
+    start_to(io::stderr());
+}
+
+/// Starts logging to standard output at the level `info`.
+///
+/// A second call in the same process has no effect.
+pub fn start_to_stdout() {
+    start_to(io::stdout());
+}
+
+fn start_to(target: impl io::Write + Send + 'static) {
     let cfg = ConfigBuilder::new()
         .set_time_format_rfc3339()
         .set_target_level(LevelFilter::Off)
         .set_thread_level(LevelFilter::Off)
         .set_location_level(LevelFilter::Off)
         .build();
-    let _ = WriteLogger::init(LevelFilter::Info, cfg, io::stderr());
+    let _ = WriteLogger::init(LevelFilter::Info, cfg, target);
 }
--- /dev/null
+++ b/crates/coordinator/src/driver.rs
@@ -0,0 +1,497 @@
+//! The driver: one thread that owns the log, the storage, the ledger and the planner.
+//!
+//! All other tasks only move messages. The driver takes a batch of events, lets the
+//! pure crates decide, syncs what must be durable, and only then sends and answers.
+
+use crate::{
+    Orders,
+    events::{Call, Event, Handle, Reply, SessionId},
+    leader::Leading,
+    ledger::{Command, Ledger},
+    links::Links,
+    metrics::Counters,
+};
+use async_channel::Sender;
+use base::{
+    clock::Clock,
+    limits::{ELECTION_MAX, ELECTION_MIN, HELLO_EVERY, LEADER_LEASE, LOG_HEARTBEAT},
+};
+use fastrand::Rng;
+use fleet::{ControlGossip, ControlMessage, LogMessage};
+use groups::Limits;
+use log::{info, warn};
+use model::ids::ControlId;
+use net::Pool;
+use replog::{Entry, Index, Node, Payload, Role, Term, Timing};
+use serde_json::json;
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        mpsc::{Receiver, RecvTimeoutError},
+    },
+    time::{Duration, Instant},
+};
+use store::{Loaded, Store, StoreError};
+
+/// Longest wait for an event, so that timers of the log are served.
+const TICK: Duration = Duration::from_millis(25);
+/// Events taken before the next sync.
+const BATCH: usize = 1024;
+/// Size of the log file, in bytes, from which it is replaced by a snapshot.
+const LOG_BYTES_MAX: u64 = 8 << 20;
+/// Silence of a voter after which a process that has caught up takes its vote. Only a
+/// process with a new disk is not a voter, so one is there only if a disk is lost.
+const REPLACE_AFTER: Duration = Duration::from_millis(2000);
+/// Silence after which a control process is no longer called, unless it is a seed.
+const FORGET_PEER: Duration = Duration::from_secs(60);
+
+/// Settings of the driver.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// The name of this process.
+    pub name: Box<str>,
+    /// Where it takes conversations of the system's own processes.
+    pub peer_address: SocketAddr,
+    /// Where operators and backend servers reach it.
+    pub public_address: SocketAddr,
+    /// Where some control processes take conversations.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time.
+    pub may_found: bool,
+    /// How often backend servers report.
+    pub report_every: Duration,
+    /// Times of the planner.
+    pub limits: Limits,
+}
+
+/// Another control process, as it introduced itself.
+#[derive(Debug)]
+pub(crate) struct Peer {
+    pub(crate) gossip: ControlGossip,
+    pub(crate) heard: Instant,
+}
+
+/// Someone who waits for the outcome of a record.
+#[derive(Debug)]
+struct Pending {
+    term: Term,
+    reply: Sender<Reply>,
+}
+
+/// Owns everything that must change in one order.
+pub struct Driver {
+    pub(crate) config: Config,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) node: Node,
+    store: Store,
+    pub(crate) ledger: Ledger,
+    links: Links,
+    pub(crate) peers: BTreeMap<ControlId, Peer>,
+    pub(crate) orders: Arc<dyn Orders>,
+    pub(crate) pool: Pool,
+    pub(crate) handle: Handle,
+    pub(crate) counters: Counters,
+    pending: BTreeMap<Index, Pending>,
+    pub(crate) entries: BTreeMap<SessionId, Sender<ControlMessage>>,
+    pub(crate) leading: Option<Leading>,
+    gossip_at: Instant,
+}
+
+impl std::fmt::Debug for Driver {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Driver").field("config", &self.config).finish_non_exhaustive()
+    }
+}
+
+impl Driver {
+    /// A driver with what its storage held.
+    #[expect(clippy::too_many_arguments, reason = "called once, where the parts are made")]
+    pub fn new(
+        config: Config,
+        store: Store,
+        loaded: Loaded,
+        links: Links,
+        orders: Arc<dyn Orders>,
+        pool: Pool,
+        handle: Handle,
+        counters: Counters,
+        clock: Arc<dyn Clock>,
+    ) -> Driver {
+        let timing = Timing {
+            heartbeat: LOG_HEARTBEAT,
+            election_min: ELECTION_MIN,
+            election_max: ELECTION_MAX,
+            lease: LEADER_LEASE,
+            replace_after: REPLACE_AFTER,
+        };
+        let now = clock.now();
+        let ledger = decode_ledger(&loaded.restored.snapshot.data);
+        let node = Node::new(loaded.identity, timing, loaded.restored, Rng::new(), now);
+        let mut driver = Driver {
+            config,
+            clock,
+            node,
+            store,
+            ledger,
+            links,
+            peers: BTreeMap::new(),
+            orders,
+            pool,
+            handle,
+            counters,
+            pending: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            leading: None,
+            gossip_at: now,
+        };
+        for seed in driver.config.seeds.clone() {
+            driver.link_to(seed);
+        }
+        driver
+    }
+
+    /// Runs until `Event::Stop`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the storage fails; the process must end then.
+    pub fn run(mut self, events: &Receiver<Event>) -> Result<(), StoreError> {
+        loop {
+            match events.recv_timeout(TICK) {
+                Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return self.flush(),
+                Ok(event) => self.take(event),
+                Err(RecvTimeoutError::Timeout) => {}
+            }
+            for _ in 1..BATCH {
+                match events.try_recv() {
+                    Ok(Event::Stop) => return self.flush(),
+                    Ok(event) => self.take(event),
+                    Err(_) => break,
+                }
+            }
+            self.turn()?;
+        }
+    }
+
+    /// Lets time pass, syncs, and does the leader's work.
+    fn turn(&mut self) -> Result<(), StoreError> {
+        let now = self.clock.now();
+        self.node.tick(now);
+        self.gossip(now);
+        self.flush()?;
+        self.follow_role(now);
+        if self.leading.is_some() {
+            self.lead(now);
+            self.flush()?;
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, event: Event) {
+        let now = self.clock.now();
+        match event {
+            Event::Peer(LogMessage::Gossip(gossip)) => self.meet(gossip, now),
+            Event::Peer(LogMessage::Log(envelope)) => self.node.receive(envelope, now),
+            Event::EntryOpened { session, tx } => self.open_entry(session, tx, now),
+            Event::Entry { session, message } => self.take_entry(session, message, now),
+            Event::EntryClosed { session } => self.close_entry(session),
+            Event::OrderDone(outcome) => self.take_outcome(&outcome, now),
+            Event::Call { call, reply } => self.take_call(call, reply, now),
+            Event::Dump(reply) => {
+                let _ = reply.send(self.dump(now));
+            }
+            // The loop ends before it hands a stop to this function.
+            Event::Stop => {}
+        }
+    }
+
+    fn take_call(&mut self, call: Call, reply: Sender<Reply>, now: Instant) {
+        if !self.node.holds_lease(now) {
+            let leader = self.leader().map(|gossip| gossip.public_address);
+            let _ = reply.try_send(Reply::NotLeader(leader));
+            return;
+        }
+        match call {
+            Call::Change(command) => self.propose(&command, reply),
+            Call::ReadManifest => {
+                let answer = match &self.ledger.manifest {
+                    Some(stored) => Reply::Manifest(stored.body.clone()),
+                    None => Reply::NoManifest,
+                };
+                let _ = reply.try_send(answer);
+            }
+            Call::Report(report) => self.take_report(report, reply, now),
+            Call::Left(host) => self.take_left(&host, reply),
+        }
+    }
+
+    /// The leader, as it introduced itself, if it is another process.
+    pub(crate) fn leader(&self) -> Option<&ControlGossip> {
+        let leader = self.node.leader()?;
+        self.peers.get(&leader).map(|peer| &peer.gossip)
+    }
+
+    fn propose(&mut self, command: &Command, reply: Sender<Reply>) {
+        let encoded = bincode::serde::encode_to_vec(command, bincode::config::standard())
+            .expect("encoding into memory fails only for unsupported types");
+        match self.node.propose(encoded) {
+            Ok(index) => {
+                let term = self.node.term();
+                self.pending.insert(index, Pending { term, reply });
+            }
+            Err(_) => {
+                let _ = reply.try_send(Reply::NotLeader(None));
+            }
+        }
+    }
+
+    /// Writes, syncs, sends and applies until nothing is left to do.
+    fn flush(&mut self) -> Result<(), StoreError> {
+        loop {
+            let output = self.node.take_output();
+            let idle = output.writes.is_empty()
+                && output.messages.is_empty()
+                && output.committed.is_empty()
+                && output.restore.is_none();
+            if idle {
+                return Ok(());
+            }
+            if !output.writes.is_empty() {
+                self.store.write(output.writes)?;
+                self.node.written();
+                self.counters.syncs.inc();
+                self.counters.log_bytes.set(self.store.log_bytes() as i64);
+            }
+            for envelope in output.messages {
+                if let Some(peer) = self.peers.get(&envelope.to) {
+                    self.links.send(peer.gossip.peer_address, LogMessage::Log(envelope));
+                }
+            }
+            if let Some(snapshot) = output.restore {
+                self.ledger = decode_ledger(&snapshot.data);
+                info!("event=snapshot_installed index={}", snapshot.index);
+            }
+            for entry in output.committed {
+                self.apply(entry);
+            }
+            self.compact();
+        }
+    }
+
+    fn apply(&mut self, entry: Entry) {
+        let Entry { index, term, payload } = entry;
+        match payload {
+            Payload::Data(bytes) => self.apply_command(index, &bytes),
+            Payload::Voters(voters) => {
+                self.ledger.applied = index;
+                let voters: Vec<String> = voters.iter().map(|id| format!("{id:016x}")).collect();
+                info!("event=voters index={index} voters={}", voters.join(","));
+            }
+            Payload::Empty => self.ledger.applied = index,
+        }
+        // Waiters of records that another leader replaced must not take this outcome.
+        while let Some(first) = self.pending.first_entry() {
+            if *first.key() > index {
+                break;
+            }
+            let (at, pending) = first.remove_entry();
+            if at == index && pending.term == term {
+                self.answer_applied(pending.reply);
+            } else {
+                let _ = pending.reply.try_send(Reply::NotLeader(None));
+            }
+        }
+    }
+
+    fn apply_command(&mut self, index: Index, bytes: &[u8]) {
+        let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
+        match decoded {
+            Ok((command, _)) => {
+                let word = command_word(&command);
+                let changed = self.ledger.apply(index, command);
+                let number = self.ledger.number();
+                info!("event=applied index={index} change={word} manifest={number}");
+                if changed {
+                    self.manifest_changed();
+                }
+            }
+            Err(e) => {
+                self.ledger.applied = index;
+                warn!("event=record_unreadable index={index} cause=\"{e}\"");
+            }
+        }
+        self.mark_changed();
+    }
+
+    fn compact(&mut self) {
+        if self.store.log_bytes() < LOG_BYTES_MAX
+            || self.ledger.applied <= self.node.snapshot_index()
+        {
+            return;
+        }
+        let data = bincode::serde::encode_to_vec(&self.ledger, bincode::config::standard())
+            .expect("encoding into memory fails only for unsupported types");
+        info!("event=compact index={} state_bytes={}", self.ledger.applied, data.len());
+        self.node.compact(self.ledger.applied, data);
+    }
+
+    /// Introduces this process, and starts the log once all founders are there.
+    fn gossip(&mut self, now: Instant) {
+        if now < self.gossip_at {
+            return;
+        }
+        self.gossip_at = now + HELLO_EVERY;
+        self.forget_peers(now);
+        let gossip = ControlGossip {
+            id: self.node.id(),
+            name: self.config.name.clone(),
+            peer_address: self.config.peer_address,
+            public_address: self.config.public_address,
+            may_found: self.may_found(),
+            known: self.links.addresses(),
+        };
+        self.links.broadcast(&LogMessage::Gossip(gossip));
+        self.found_if_first();
+    }
+
+    fn may_found(&self) -> bool {
+        self.config.may_found && self.node.is_empty()
+    }
+
+    /// The seed with the lowest address starts a new log, once it has heard of all seeds
+    /// that their logs are empty too. All processes have the same seeds at the first start.
+    fn found_if_first(&mut self) {
+        let lowest = self.config.seeds.iter().min() == Some(&self.config.peer_address);
+        if !self.may_found() || !lowest {
+            return;
+        }
+        let mut voters = replog::Voters::from([self.node.id()]);
+        for seed in &self.config.seeds {
+            let founder = |peer: &&Peer| peer.gossip.peer_address == *seed && peer.gossip.may_found;
+            match self.peers.values().find(founder) {
+                Some(peer) => voters.insert(peer.gossip.id),
+                None if *seed == self.config.peer_address => false,
+                None => return,
+            };
+        }
+        info!("event=found voters={}", voters.len());
+        self.node.bootstrap(voters);
+    }
+
+    fn meet(&mut self, gossip: ControlGossip, now: Instant) {
+        let replaced: Vec<ControlId> = self
+            .peers
+            .iter()
+            .filter(|(id, peer)| {
+                peer.gossip.peer_address == gossip.peer_address && **id != gossip.id
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in replaced {
+            info!("event=peer_replaced old={id:016x} new={:016x}", gossip.id);
+            self.peers.remove(&id);
+            self.node.remove_learner(id);
+        }
+        self.link_to(gossip.peer_address);
+        for address in &gossip.known {
+            self.link_to(*address);
+        }
+        self.node.add_learner(gossip.id, now);
+        if !self.peers.contains_key(&gossip.id) {
+            info!("event=peer_met id={:016x} name={}", gossip.id, gossip.name);
+        }
+        self.peers.insert(gossip.id, Peer { gossip, heard: now });
+    }
+
+    fn link_to(&mut self, address: SocketAddr) {
+        if address != self.config.peer_address {
+            self.links.ensure(address);
+        }
+    }
+
+    fn forget_peers(&mut self, now: Instant) {
+        let silent: Vec<(ControlId, SocketAddr)> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| now.saturating_duration_since(peer.heard) > FORGET_PEER)
+            .map(|(id, peer)| (*id, peer.gossip.peer_address))
+            .collect();
+        for (id, address) in silent {
+            self.peers.remove(&id);
+            self.node.remove_learner(id);
+            if !self.config.seeds.contains(&address) {
+                self.links.remove(address);
+            }
+        }
+    }
+
+    fn dump(&self, now: Instant) -> serde_json::Value {
+        let peers: Vec<_> = self
+            .peers
+            .values()
+            .map(|peer| {
+                json!({
+                    "id": format!("{:016x}", peer.gossip.id),
+                    "name": peer.gossip.name,
+                    "address": peer.gossip.peer_address,
+                    "silent_ms": now.saturating_duration_since(peer.heard).as_millis() as u64,
+                })
+            })
+            .collect();
+        json!({
+            "name": self.config.name,
+            "id": format!("{:016x}", self.node.id()),
+            "role": format!("{:?}", self.node.role()),
+            "term": self.node.term(),
+            "commit": self.node.commit(),
+            "voters": self.node.voters().iter().map(|id| format!("{id:016x}")).collect::<Vec<_>>(),
+            "holds_lease": self.node.holds_lease(now),
+            "manifest": self.ledger.number(),
+            "domains_out": self.ledger.domains_out,
+            "peers": peers,
+            "log_bytes": self.store.log_bytes(),
+            "leading": self.leading.as_ref().map(|leading| leading.dump(now)),
+        })
+    }
+
+    fn follow_role(&mut self, now: Instant) {
+        let leads = self.node.role() == Role::Leader;
+        let current = self.leading.as_ref().map(|leading| leading.since);
+        match (leads, current) {
+            (true, Some(since)) if self.node.elected_at() > Some(since) => {
+                // It lost and won between two turns: what it learned may be out of date.
+                self.end_leading();
+                self.start_leading(now);
+            }
+            (true, None) => self.start_leading(now),
+            (false, Some(_)) => self.end_leading(),
+            _ => {}
+        }
+    }
+
+    pub(crate) fn fail_pending(&mut self) {
+        for (_, pending) in std::mem::take(&mut self.pending) {
+            // The record may still be committed by the next leader.
+            drop(pending.reply);
+        }
+    }
+}
+
+fn command_word(command: &Command) -> &'static str {
+    match command {
+        Command::Manifest(_) => "manifest",
+        Command::DomainOut(_) => "domain_out",
+        Command::DomainBack(_) => "domain_back",
+    }
+}
+
+fn decode_ledger(data: &[u8]) -> Ledger {
+    if data.is_empty() {
+        return Ledger::default();
+    }
+    bincode::serde::decode_from_slice(data, bincode::config::standard())
+        .expect("a snapshot that passed its checksum is readable")
+        .0
+}
--- /dev/null
+++ b/crates/coordinator/src/leader.rs
@@ -0,0 +1,415 @@
+//! The work of the leader: reports, groups, orders and routing views.
+
+use crate::{
+    driver::Driver,
+    events::{Event, Reply, SessionId},
+};
+use async_channel::Sender;
+use fleet::{ControlMessage, EntryMessage, EntryStatus, HostReport, Manifest, RoutingView};
+use groups::{OrderOutcome, OrderResult, Planner, PlannerInput, Registry, routing_view};
+use log::info;
+use model::ids::{HostId, ServiceId};
+use serde_json::json;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// Shortest time between two passes of the planner.
+const PLAN_PAUSE: Duration = Duration::from_millis(20);
+/// Longest time between two passes of the planner.
+const PLAN_EVERY: Duration = Duration::from_millis(200);
+/// How often entries hear from a leader that has nothing new.
+const ALIVE_EVERY: Duration = Duration::from_millis(500);
+/// Silence after which an entry leaves the directory: a few of its reports.
+const ENTRY_SILENCE: Duration = Duration::from_millis(1500);
+/// Part of a report interval that a new leader waits beyond the first, so that every host
+/// in touch has reported to it.
+const LEARN_SLACK: f64 = 0.3;
+/// Shortest time between two views that differ only in remaining cold times.
+const COLD_STEP: Duration = Duration::from_millis(1000);
+
+/// What exists only while this process leads.
+#[derive(Debug)]
+pub(crate) struct Leading {
+    pub(crate) since: Instant,
+    registry: Registry,
+    planner: Planner,
+    entries: BTreeMap<SessionId, (EntryStatus, Instant)>,
+    manifest: Option<Arc<Manifest>>,
+    engine_service: Option<ServiceId>,
+    view: Option<RoutingView>,
+    view_at: Instant,
+    alive_at: Instant,
+    plan_at: Instant,
+    changed: bool,
+    traffic: bool,
+    /// Calls that are answered once the view that follows from them is on its way.
+    after_view: Vec<Sender<Reply>>,
+}
+
+impl Leading {
+    /// Everything that helps to find a fault.
+    pub(crate) fn dump(&self, now: Instant) -> serde_json::Value {
+        let groups: Vec<_> = self
+            .planner
+            .phases()
+            .map(|(name, model, phase)| {
+                json!({ "group": name, "model": model, "phase": format!("{phase:?}") })
+            })
+            .collect();
+        let hosts: Vec<_> = self
+            .registry
+            .hosts()
+            .values()
+            .map(|seen| {
+                json!({
+                    "report": seen.report,
+                    "gone": seen.gone,
+                    "age_ms": now.saturating_duration_since(seen.heard).as_millis() as u64,
+                })
+            })
+            .collect();
+        json!({ "groups": groups, "hosts": hosts, "entries": self.entries.len() })
+    }
+}
+
+impl Driver {
+    pub(crate) fn start_leading(&mut self, now: Instant) {
+        info!("event=lead term={} manifest={}", self.node.term(), self.ledger.number());
+        self.counters.elections_won.inc();
+        self.counters.leads.set(1);
+        self.leading = Some(Leading {
+            since: now,
+            registry: Registry::default(),
+            planner: Planner::new(self.node.term(), self.config.limits.clone()),
+            entries: BTreeMap::new(),
+            manifest: None,
+            engine_service: None,
+            view: None,
+            view_at: now,
+            alive_at: now,
+            plan_at: now,
+            changed: true,
+            traffic: false,
+            after_view: Vec::new(),
+        });
+        self.manifest_changed();
+    }
+
+    pub(crate) fn end_leading(&mut self) {
+        info!("event=follow term={}", self.node.term());
+        self.leading = None;
+        self.counters.leads.set(0);
+        self.fail_pending();
+        let message = self.not_leader();
+        for tx in self.entries.values() {
+            let _ = tx.try_send(message.clone());
+        }
+    }
+
+    fn not_leader(&self) -> ControlMessage {
+        let leader = self.leader().map(|gossip| gossip.peer_address);
+        ControlMessage::NotLeader { leader, known: self.known() }
+    }
+
+    fn known(&self) -> Vec<std::net::SocketAddr> {
+        let others = self.peers.values().map(|peer| peer.gossip.peer_address);
+        others.chain([self.config.peer_address]).collect()
+    }
+
+    pub(crate) fn mark_changed(&mut self) {
+        if let Some(leading) = &mut self.leading {
+            leading.changed = true;
+        }
+    }
+
+    /// Passes a new manifest on to the entries.
+    pub(crate) fn manifest_changed(&mut self) {
+        let (Some(leading), Some(stored)) = (&mut self.leading, &self.ledger.manifest) else {
+            return;
+        };
+        let manifest = Arc::new(stored.manifest.clone());
+        let engine = manifest.services.iter().find(|service| service.engine.is_some());
+        leading.engine_service = engine.map(|service| service.name.clone());
+        leading.planner.set_engine_service(leading.engine_service.clone());
+        leading.manifest = Some(manifest.clone());
+        leading.changed = true;
+        for tx in self.entries.values() {
+            push(tx, ControlMessage::Manifest(manifest.clone()));
+        }
+    }
+
+    /// Answers the caller of a change that was applied; entries have been told first.
+    pub(crate) fn answer_applied(&mut self, reply: Sender<Reply>) {
+        match &mut self.leading {
+            Some(leading) => {
+                leading.after_view.push(reply);
+                leading.changed = true;
+            }
+            None => {
+                let _ = reply.try_send(Reply::Done);
+            }
+        }
+    }
+
+    pub(crate) fn open_entry(
+        &mut self,
+        session: SessionId,
+        tx: Sender<ControlMessage>,
+        now: Instant,
+    ) {
+        match &self.leading {
+            Some(leading) if self.node.holds_lease(now) => {
+                if let Some(manifest) = &leading.manifest {
+                    push(&tx, ControlMessage::Manifest(manifest.clone()));
+                }
+                if let Some(view) = &leading.view {
+                    push(&tx, ControlMessage::View(view.clone()));
+                }
+            }
+            _ => push(&tx, self.not_leader()),
+        }
+        self.entries.insert(session, tx);
+    }
+
+    pub(crate) fn close_entry(&mut self, session: SessionId) {
+        self.entries.remove(&session);
+        if let Some(leading) = &mut self.leading {
+            // A process that has ended closes its conversation.
+            if let Some((status, _)) = leading.entries.remove(&session) {
+                info!("event=entry_lost entry={}", status.entry);
+                leading.changed = true;
+            }
+        }
+    }
+
+    pub(crate) fn take_entry(&mut self, session: SessionId, message: EntryMessage, now: Instant) {
+        let EntryMessage::Status(status) = message;
+        match &mut self.leading {
+            Some(leading) if self.node.holds_lease(now) => {
+                let before = leading.entries.get(&session);
+                let differs = before.is_none_or(|(before, _)| before.accepts != status.accepts);
+                if differs {
+                    info!("event=entry entry={} accepts={}", status.entry, status.accepts);
+                    leading.changed = true;
+                }
+                leading.traffic |= status.served > 0;
+                leading.entries.insert(session, (status, now));
+            }
+            _ => {
+                let message = self.not_leader();
+                if let Some(tx) = self.entries.get(&session) {
+                    push(tx, message);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn take_report(&mut self, report: HostReport, reply: Sender<Reply>, now: Instant) {
+        let Some(leading) = &mut self.leading else {
+            let _ = reply.try_send(Reply::NotLeader(None));
+            return;
+        };
+        self.counters.reports.inc();
+        let leaving = report.leaving;
+        let before = leading.registry.hosts().get(&report.host);
+        let news = before.is_none_or(|seen| {
+            let old = &seen.report;
+            old.born != report.born
+                || old.membership != report.membership
+                || old.leaving != report.leaving
+                || old.staged != report.staged
+        });
+        let host = report.host.clone();
+        let what = format!("{:?}", report.membership);
+        if leading.registry.take(report, now) {
+            if news {
+                info!("event=host host={host} leaving={leaving} part=\"{what}\"");
+                leading.changed = true;
+            }
+        } else {
+            self.counters.reports_stale.inc();
+        }
+        if leaving && news {
+            leading.after_view.push(reply);
+        } else {
+            let _ = reply.try_send(Reply::Done);
+        }
+    }
+
+    pub(crate) fn take_left(&mut self, host: &HostId, reply: Sender<Reply>) {
+        let Some(leading) = &mut self.leading else {
+            let _ = reply.try_send(Reply::NotLeader(None));
+            return;
+        };
+        if leading.registry.remove(host) {
+            info!("event=host_left host={host}");
+        }
+        leading.changed = true;
+        leading.after_view.push(reply);
+    }
+
+    pub(crate) fn take_outcome(&mut self, outcome: &OrderOutcome, now: Instant) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let word = outcome.order.kind.word();
+        info!(
+            "event=order_end host={} order={word} result={:?}",
+            outcome.order.host, outcome.result
+        );
+        if !matches!(outcome.result, OrderResult::Begun | OrderResult::Done) {
+            self.counters.orders_failed.inc();
+        }
+        // An order of an earlier term must not settle one of this term.
+        if outcome.order.fence == self.node.term() {
+            leading.planner.outcome(outcome, now);
+            leading.changed = true;
+        }
+    }
+
+    /// Does what is due for a leader that holds the lease.
+    pub(crate) fn lead(&mut self, now: Instant) {
+        if !self.node.holds_lease(now) {
+            return;
+        }
+        let learn = self.config.report_every.mul_f64(1.0 + LEARN_SLACK);
+        let known = self.known();
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        leading.expire_entries(now);
+        let learned = now >= leading.since + learn;
+        let due = (leading.changed && now >= leading.plan_at + PLAN_PAUSE)
+            || now >= leading.plan_at + PLAN_EVERY;
+        if learned && due {
+            leading.plan_at = now;
+            leading.changed = false;
+            self.plan(now);
+            self.publish(now);
+        }
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        if learned || leading.manifest.is_none() {
+            for reply in leading.after_view.drain(..) {
+                let _ = reply.try_send(Reply::Done);
+            }
+        }
+        if now >= leading.alive_at + ALIVE_EVERY {
+            leading.alive_at = now;
+            for tx in self.entries.values() {
+                push(tx, ControlMessage::Alive { known: known.clone() });
+            }
+        }
+    }
+
+    fn plan(&mut self, now: Instant) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        leading.registry.forget(&self.config.limits, now);
+        let (Some(manifest), Some(name)) = (&leading.manifest, &leading.engine_service) else {
+            return;
+        };
+        let Some(engine) = manifest.service(name).and_then(|service| service.engine.as_ref())
+        else {
+            return;
+        };
+        let statuses = leading.entries.values();
+        let alive = statuses.flat_map(|(status, _)| status.alive.iter().cloned()).collect();
+        let input = PlannerInput {
+            registry: &leading.registry,
+            service: name,
+            engine,
+            domains_out: &self.ledger.domains_out,
+            alive: &alive,
+            loads_unlimited: !leading.traffic,
+            now,
+        };
+        let before = leading.planner.phases().map(|(n, _, p)| (n.clone(), p)).collect();
+        let orders = leading.planner.step(&input);
+        log_phases(&before, &leading.planner);
+        for order in orders {
+            info!("event=order host={} order={:?}", order.host, order.kind);
+            self.counters.orders.inc();
+            let sent = self.orders.send(&order);
+            let handle = self.handle.clone();
+            self.pool
+                .spawn(async move {
+                    let result = sent.await;
+                    handle.send(Event::OrderDone(OrderOutcome { order, result }));
+                })
+                .detach();
+        }
+    }
+
+    fn publish(&mut self, now: Instant) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let entries = leading.entries.values().filter(|(status, _)| status.accepts);
+        let mut entries: Vec<_> = entries.map(|(status, _)| status.address).collect();
+        entries.sort_unstable();
+        entries.dedup();
+        let view = routing_view(
+            &leading.planner,
+            &leading.registry,
+            &self.ledger.domains_out,
+            entries,
+            &self.config.limits,
+            now,
+        );
+        let old = leading.view.as_ref();
+        let same = old.is_some_and(|old| old.same_routes(&view));
+        if same && (old == Some(&view) || now < leading.view_at + COLD_STEP) {
+            return;
+        }
+        let serving = view.replicas.iter().filter(|replica| replica.group.is_some()).count();
+        if !same {
+            info!(
+                "event=view replicas={} groups={serving} entries={}",
+                view.replicas.len(),
+                view.entries.len()
+            );
+        }
+        self.counters.views.inc();
+        self.counters.groups_serving.set(serving as i64);
+        for tx in self.entries.values() {
+            push(tx, ControlMessage::View(view.clone()));
+        }
+        leading.view_at = now;
+        leading.view = Some(view);
+    }
+}
+
+impl Leading {
+    fn expire_entries(&mut self, now: Instant) {
+        let before = self.entries.len();
+        self.entries.retain(|_, (_, heard)| now.saturating_duration_since(*heard) <= ENTRY_SILENCE);
+        self.changed |= self.entries.len() != before;
+    }
+}
+
+/// Logs which groups changed their phase.
+fn log_phases(before: &BTreeMap<Box<str>, groups::Phase>, planner: &Planner) {
+    let mut named = BTreeSet::new();
+    for (name, model, phase) in planner.phases() {
+        named.insert(name);
+        if before.get(name) != Some(&phase) {
+            info!("event=group group={name} model={model} phase=\"{phase:?}\"");
+        }
+    }
+    for name in before.keys().filter(|name| !named.contains(name)) {
+        info!("event=group group={name} phase=Ended");
+    }
+}
+
+/// Sends a message to an entry. One that does not read must start a new conversation.
+fn push(tx: &Sender<ControlMessage>, message: ControlMessage) {
+    if tx.try_send(message).is_err() {
+        tx.close();
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/lib.rs
@@ -0,0 +1,30 @@
+//! The control process of a fleet of engine groups and plain services: the replicated
+//! ledger, the registry of hosts, the planner of groups and the feed of routing views.
+//!
+//! How operators and hosts speak is the business of the program that uses this library:
+//! it passes their calls through a [`Handle`] and carries out orders through [`Orders`].
+
+mod driver;
+mod events;
+mod leader;
+mod ledger;
+mod links;
+mod metrics;
+mod sessions;
+
+pub use driver::{Config, Driver};
+pub use events::{Call, Event, Handle, Reply};
+pub use ledger::{Command, StoredManifest};
+pub use links::Links;
+pub use metrics::Counters;
+pub use sessions::Sessions;
+
+use fleet::HostOrder;
+use futures_lite::future::Boxed;
+use groups::OrderResult;
+
+/// Carries out orders to hosts.
+pub trait Orders: Send + Sync {
+    /// Sends an order and waits for its outcome for a limited time.
+    fn send(&self, order: &HostOrder) -> Boxed<OrderResult>;
+}
--- /dev/null
+++ b/crates/coordinator/src/metrics.rs
@@ -0,0 +1,40 @@
+//! Counters and gauges of a control process.
+
+use base::metrics::Metrics;
+use prometheus_client::metrics::{counter::Counter, gauge::Gauge};
+
+/// Counters and gauges of a control process.
+#[derive(Debug, Clone)]
+pub struct Counters {
+    pub(crate) leads: Gauge,
+    pub(crate) elections_won: Counter,
+    pub(crate) syncs: Counter,
+    pub(crate) log_bytes: Gauge,
+    pub(crate) reports: Counter,
+    pub(crate) reports_stale: Counter,
+    pub(crate) orders: Counter,
+    pub(crate) orders_failed: Counter,
+    pub(crate) views: Counter,
+    pub(crate) groups_serving: Gauge,
+    pub(crate) sessions_refused: Counter,
+}
+
+impl Counters {
+    /// Registers them.
+    pub fn register(metrics: &Metrics) -> Counters {
+        let counter = |name: &str, help: &str| metrics.counter(name, help);
+        Counters {
+            leads: metrics.gauge("leads", "1 while this process leads"),
+            elections_won: counter("elections_won", "elections won"),
+            syncs: counter("log_syncs", "syncs of the log"),
+            log_bytes: metrics.gauge("log_bytes", "size of the log file in bytes"),
+            reports: counter("host_reports", "reports of hosts taken"),
+            reports_stale: counter("host_reports_stale", "reports that a later one overtook"),
+            orders: counter("orders_sent", "orders sent to hosts"),
+            orders_failed: counter("orders_failed", "orders that were refused or not answered"),
+            views: counter("views_published", "routing views published"),
+            groups_serving: metrics.gauge("groups_serving", "groups that serve"),
+            sessions_refused: counter("sessions_refused", "conversations refused"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/sessions.rs
@@ -0,0 +1,69 @@
+//! Conversations that other processes open: control processes and entries.
+
+use crate::{
+    events::{Event, Handle, SessionId},
+    metrics::Counters,
+};
+use fleet::{ControlMessage, ENTRY_SESSION_PATH, EntryMessage, LOG_SESSION_PATH, LogMessage};
+use net::Pool;
+use peer::{Accept, ByteCount, RawSession, Session};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+/// Takes conversations and passes their messages to the driver.
+#[derive(Debug)]
+pub struct Sessions {
+    pool: Pool,
+    driver: Handle,
+    counters: Counters,
+    bytes: Arc<ByteCount>,
+    next: AtomicU64,
+}
+
+impl Sessions {
+    /// Sessions whose messages go to the driver.
+    pub fn new(pool: Pool, driver: Handle, counters: Counters, bytes: Arc<ByteCount>) -> Sessions {
+        Sessions { pool, driver, counters, bytes, next: AtomicU64::new(1) }
+    }
+}
+
+impl Accept for Sessions {
+    fn knows(&self, path: &str) -> bool {
+        path == LOG_SESSION_PATH || path == ENTRY_SESSION_PATH
+    }
+
+    fn accept(&self, path: &str, _remote: SocketAddr, session: RawSession) {
+        let driver = self.driver.clone();
+        let bytes = self.bytes.clone();
+        if path == LOG_SESSION_PATH {
+            self.pool.spawn(take_peer(session.start(self.pool, bytes), driver)).detach();
+        } else {
+            let id = self.next.fetch_add(1, Ordering::Relaxed);
+            self.pool.spawn(take_entry(id, session.start(self.pool, bytes), driver)).detach();
+        }
+    }
+
+    fn refused(&self, remote: SocketAddr) {
+        self.counters.sessions_refused.inc();
+        log::warn!("event=session_refused remote={remote}");
+    }
+}
+
+async fn take_peer(session: Session<LogMessage, LogMessage>, driver: Handle) {
+    while let Ok(message) = session.rx.recv().await {
+        driver.send(Event::Peer(message));
+    }
+}
+
+async fn take_entry(id: SessionId, session: Session<ControlMessage, EntryMessage>, driver: Handle) {
+    driver.send(Event::EntryOpened { session: id, tx: session.tx.clone() });
+    while let Ok(message) = session.rx.recv().await {
+        driver.send(Event::Entry { session: id, message });
+    }
+    driver.send(Event::EntryClosed { session: id });
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,22 @@
+//! The entry process of a fleet: takes callers' requests, chooses backend servers for
+//! them, passes whole answers and streams back, and learns routes from control.
+//!
+//! How requests are written on the wire is the business of the program that uses this
+//! library: it supplies a [`Dialect`].
+
+mod dialect;
+mod dispatch;
+mod events;
+mod feed;
+mod metrics;
+mod refusal;
+mod shared;
+mod stream;
+mod unary;
+
+pub use dialect::{AnswerKind, Ask, Dialect, Pass};
+pub use dispatch::Gateway;
+pub use feed::{Feed, FeedConfig};
+pub use metrics::Counters;
+pub use refusal::Refusal;
+pub use shared::{Bounds, Shared};
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,36 @@
+//! Counters of an entry.
+
+use base::metrics::Metrics;
+use prometheus_client::metrics::{counter::Counter, gauge::Gauge};
+
+/// Counters of an entry.
+#[derive(Debug, Clone)]
+pub struct Counters {
+    pub(crate) requests: Counter,
+    pub(crate) answered: Counter,
+    pub(crate) refused: Counter,
+    pub(crate) failed: Counter,
+    pub(crate) repeats: Counter,
+    pub(crate) resumed: Counter,
+    pub(crate) foreign: Counter,
+    pub(crate) left: Counter,
+    pub(crate) view_replicas: Gauge,
+}
+
+impl Counters {
+    /// Registers them.
+    pub fn register(metrics: &Metrics) -> Counters {
+        let counter = |name: &str, help: &str| metrics.counter(name, help);
+        Counters {
+            requests: counter("requests", "requests of callers"),
+            answered: counter("answered", "answers of backend servers passed on"),
+            refused: counter("refused", "requests refused that have not run"),
+            failed: counter("failed", "requests that failed and may have run"),
+            repeats: counter("repeats", "requests sent to one more backend server"),
+            resumed: counter("streams_resumed", "streams that another backend server went on with"),
+            foreign: counter("foreign_answers", "answers that belong to another request"),
+            left: counter("callers_left", "callers that left before the end of their answer"),
+            view_replicas: metrics.gauge("view_replicas", "backend servers in the routing view"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/shared.rs
@@ -0,0 +1,172 @@
+//! What the tasks of an entry share.
+
+use admission::{Floor, RetryBudget, Table};
+use base::{clock::Clock, sync::lock};
+use fleet::{EntryStatus, Manifest, RoutingView};
+use model::ids::{DomainId, EntryId, ServiceId};
+use std::{
+    collections::HashMap,
+    fmt,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+/// Limits that all entries keep together.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// The sliding window in which repeats are counted.
+    pub repeat_window: Duration,
+    /// Repeats allowed for each request of a service.
+    pub repeat_ratio: f64,
+    /// Further repeats allowed in a window.
+    pub repeat_spare: f64,
+}
+
+/// How lately a head must have produced something to count as working.
+const ALIVE_WITHIN: Duration = Duration::from_millis(800);
+/// How long a head with work must have produced nothing to count as stalled: several
+/// passes of a full engine.
+const STALLED_AFTER: Duration = Duration::from_millis(700);
+/// Part of the allowed repeats that entries use, as each knows only its own requests.
+const REPEAT_SHARE: f64 = 0.7;
+
+/// What the tasks of an entry share. Locks are held for one call, and one at a time.
+pub struct Shared {
+    /// The entry's name.
+    pub name: EntryId,
+    /// Where it takes callers.
+    pub address: SocketAddr,
+    pub(crate) clock: Arc<dyn Clock>,
+    bounds: Bounds,
+    table: Mutex<Option<Arc<Table>>>,
+    pub(crate) floor: Mutex<Floor>,
+    budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
+    directory: Mutex<Vec<SocketAddr>>,
+    has_view: AtomicBool,
+    leaving: AtomicBool,
+    served: AtomicU64,
+}
+
+impl fmt::Debug for Shared {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Shared").field("name", &self.name).finish_non_exhaustive()
+    }
+}
+
+impl Shared {
+    /// An entry that knows nothing yet.
+    pub fn new(
+        name: EntryId,
+        address: SocketAddr,
+        domain: DomainId,
+        bounds: Bounds,
+        clock: Arc<dyn Clock>,
+    ) -> Shared {
+        Shared {
+            name,
+            address,
+            clock,
+            bounds,
+            table: Mutex::default(),
+            floor: Mutex::new(Floor::new(domain)),
+            budgets: Mutex::default(),
+            directory: Mutex::default(),
+            has_view: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            served: AtomicU64::new(0),
+        }
+    }
+
+    /// The manifest in force, with indexes.
+    pub fn table(&self) -> Option<Arc<Table>> {
+        lock(&self.table).clone()
+    }
+
+    /// Addresses of the entries that take callers.
+    pub fn directory(&self) -> Vec<SocketAddr> {
+        lock(&self.directory).clone()
+    }
+
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.has_view.load(Ordering::Acquire) && !self.is_leaving()
+    }
+
+    /// Whether the process is about to end.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Takes the entry out of the directory; it goes on serving.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Release);
+    }
+
+    /// Takes a manifest, unless a newer one is known.
+    pub(crate) fn set_manifest(&self, manifest: Arc<Manifest>) {
+        let mut table = lock(&self.table);
+        let known = table.as_ref().map_or(0, |table| table.manifest().number);
+        if table.is_some() && manifest.number <= known {
+            return;
+        }
+        log::info!("event=manifest number={} before={known}", manifest.number);
+        *table = Some(Arc::new(Table::new(manifest.clone())));
+        drop(table);
+        lock(&self.floor).set_manifest(manifest);
+    }
+
+    pub(crate) fn set_view(&self, view: RoutingView) {
+        *lock(&self.directory) = view.entries.clone();
+        lock(&self.floor).set_view(view, self.clock.now());
+        if lock(&self.table).is_some() {
+            self.has_view.store(true, Ordering::Release);
+        }
+    }
+
+    pub(crate) fn note_served(&self) {
+        self.served.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn status(&self) -> EntryStatus {
+        let now = self.clock.now();
+        let floor = lock(&self.floor);
+        EntryStatus {
+            entry: self.name.clone(),
+            address: self.address,
+            accepts: self.is_ready(),
+            served: self.served.load(Ordering::Relaxed),
+            alive: floor.alive(ALIVE_WITHIN, now),
+            stalled: floor.stalled(STALLED_AFTER, now),
+        }
+    }
+
+    /// Counts a request of a service.
+    pub(crate) fn count_request(&self, service: &ServiceId) {
+        self.with_budget(service, |budget, now| budget.request(now));
+    }
+
+    /// Takes a repeat out of a service's budget, if it has one.
+    pub(crate) fn try_repeat(&self, service: &ServiceId) -> bool {
+        self.with_budget(service, |budget, now| budget.try_repeat(now))
+    }
+
+    fn with_budget<T>(
+        &self,
+        service: &ServiceId,
+        act: impl FnOnce(&mut RetryBudget, std::time::Instant) -> T,
+    ) -> T {
+        let now = self.clock.now();
+        let entries = lock(&self.directory).len().max(1);
+        let spare = self.bounds.repeat_spare * REPEAT_SHARE / entries as f64;
+        let mut budgets = lock(&self.budgets);
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            let ratio = self.bounds.repeat_ratio * REPEAT_SHARE;
+            RetryBudget::new(self.bounds.repeat_window, ratio, spare)
+        });
+        act(budget, now)
+    }
+}
--- /dev/null
+++ b/crates/groups/src/limits.rs
@@ -0,0 +1,37 @@
+//! Times of the planner.
+
+use std::time::Duration;
+
+/// Times of the planner.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// Silence after which a member of a group counts as lost: two reports and a half,
+    /// since a single report is often late.
+    pub member_silence: Duration,
+    /// Silence after which a plain replica leaves the routing view. Entries notice a dead
+    /// one by themselves, so this only has to be longer than a late report.
+    pub replica_silence: Duration,
+    /// Time after which a head whose member left has certainly stopped serving.
+    pub stall: Duration,
+    /// How long a host that is gone is remembered, so that late reports don't revive it.
+    pub forget: Duration,
+    /// Wait before an order without a clear answer is sent again.
+    pub resend: Duration,
+    /// Time allowed for a join or an opening beyond the expected one.
+    pub form_slack: Duration,
+}
+
+impl Limits {
+    /// Limits for backend servers that report every `report_every` and for engines whose
+    /// heads break `stall` after they lost a member.
+    pub fn new(report_every: Duration, stall: Duration) -> Limits {
+        Limits {
+            member_silence: report_every * 5 / 2,
+            replica_silence: report_every * 4,
+            stall: stall + Duration::from_millis(300),
+            forget: Duration::from_secs(120),
+            resend: Duration::from_millis(400),
+            form_slack: Duration::from_secs(4),
+        }
+    }
+}
--- /dev/null
+++ b/crates/groups/src/placement.rs
@@ -0,0 +1,98 @@
+//! Chooses hosts for the next group.
+
+use fleet::{Engine, EngineModel};
+use model::ids::{FabricId, HostId, ModelId};
+use std::{collections::BTreeMap, time::Duration};
+
+/// Time of a join for a host whose last group had the same model.
+const REJOIN: Duration = Duration::from_millis(200);
+
+/// A host that may join a group.
+#[derive(Debug, Clone)]
+pub(crate) struct FreeHost {
+    pub(crate) host: HostId,
+    pub(crate) last_model: Option<ModelId>,
+    pub(crate) staged: Vec<ModelId>,
+}
+
+impl FreeHost {
+    /// How long the host needs to join a group of the model.
+    pub(crate) fn join_time(&self, model: &EngineModel) -> Duration {
+        if self.last_model.as_ref() == Some(&model.name) {
+            REJOIN
+        } else if self.needs_load(model) {
+            model.load
+        } else {
+            model.warmup
+        }
+    }
+
+    /// Whether a join would load weights from the store.
+    pub(crate) fn needs_load(&self, model: &EngineModel) -> bool {
+        self.last_model.as_ref() != Some(&model.name) && !self.staged.contains(&model.name)
+    }
+}
+
+/// Hosts for a group, the head first.
+#[derive(Debug)]
+pub(crate) struct Candidate {
+    pub(crate) model: ModelId,
+    pub(crate) fabric: FabricId,
+    pub(crate) hosts: Vec<HostId>,
+    pub(crate) time: Duration,
+    pub(crate) loads: usize,
+}
+
+/// The best next group, if one fits in a fabric domain with at most `loads` loads.
+///
+/// A group is worth more the fewer groups its model has for its part of the work, and the
+/// sooner it serves.
+pub(crate) fn best_candidate(
+    engine: &Engine,
+    free: &BTreeMap<FabricId, Vec<FreeHost>>,
+    groups: &BTreeMap<ModelId, usize>,
+    loads: usize,
+) -> Option<Candidate> {
+    let mut best: Option<(f64, Candidate)> = None;
+    for model in &engine.models {
+        let count = groups.get(&model.name).copied().unwrap_or(0) as f64;
+        // The work of a model's share, in times of a group, over the groups that it has.
+        let need = model.share * model.pace / (count + 0.5);
+        for (fabric, hosts) in free {
+            let Some(candidate) = candidate_in(model, fabric, hosts, loads) else {
+                continue;
+            };
+            let score = need / (1.0 + candidate.time.as_secs_f64() / PATIENCE.as_secs_f64());
+            if best.as_ref().is_none_or(|(other, _)| score > *other) {
+                best = Some((score, candidate));
+            }
+        }
+    }
+    best.map(|(_, candidate)| candidate)
+}
+
+/// A group that serves this much later is worth half.
+const PATIENCE: Duration = Duration::from_secs(4);
+
+fn candidate_in(
+    model: &EngineModel,
+    fabric: &FabricId,
+    hosts: &[FreeHost],
+    loads: usize,
+) -> Option<Candidate> {
+    let mut by_time: Vec<&FreeHost> = hosts.iter().collect();
+    by_time.sort_by_key(|host| host.join_time(model));
+    let chosen = by_time.get(..model.size)?;
+    let needed = chosen.iter().filter(|host| host.needs_load(model)).count();
+    if needed > loads {
+        return None;
+    }
+    let time = chosen.iter().map(|host| host.join_time(model)).max().unwrap_or_default();
+    Some(Candidate {
+        model: model.name.clone(),
+        fabric: fabric.clone(),
+        hosts: chosen.iter().map(|host| host.host.clone()).collect(),
+        time,
+        loads: needed,
+    })
+}
--- /dev/null
+++ b/crates/groups/src/planner.rs
@@ -0,0 +1,611 @@
+//! The life of groups: joined, opened, serving, closed, ended.
+
+use crate::{
+    Limits, Registry,
+    loads::LoadGate,
+    placement::{Candidate, FreeHost, best_candidate},
+    registry::HostSeen,
+};
+use fleet::{Engine, Epoch, GroupName, HostOrder, MemberState, Membership, OrderKind};
+use model::ids::{DomainId, FabricId, HostId, ModelId, ServiceId};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Instant,
+};
+
+/// Bits of an epoch below the leader's term.
+const EPOCH_BITS: u32 = 20;
+
+/// What the planner looks at.
+#[derive(Debug, Clone, Copy)]
+pub struct PlannerInput<'a> {
+    /// What hosts have reported.
+    pub registry: &'a Registry,
+    /// The service of the engines.
+    pub service: &'a ServiceId,
+    /// The engine's parameters.
+    pub engine: &'a Engine,
+    /// Failure domains that operators have taken out.
+    pub domains_out: &'a BTreeSet<DomainId>,
+    /// Groups whose head an entry has seen working lately.
+    pub alive: &'a BTreeSet<GroupName>,
+    /// Whether loads are free of limits, as they are until callers send requests.
+    pub loads_unlimited: bool,
+    /// The time.
+    pub now: Instant,
+}
+
+/// How far a group is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Its members join.
+    Forming,
+    /// Its head was told to serve.
+    Opening,
+    /// It serves.
+    Serving,
+    /// Its head is told to stop; running work is cut off, or awaited.
+    Closing {
+        /// Whether running work is cut off.
+        cut: bool,
+    },
+    /// Its head is silent; its other members left, so that it breaks by this time.
+    Breaking {
+        /// When the head has certainly stopped.
+        until: Instant,
+    },
+}
+
+/// A group.
+#[derive(Debug, Clone)]
+pub(crate) struct Group {
+    pub(crate) epoch: Epoch,
+    pub(crate) model: ModelId,
+    pub(crate) members: Vec<HostId>,
+    /// The life that each member was in when it joined.
+    lives: Vec<u64>,
+    acked: BTreeSet<HostId>,
+    pub(crate) phase: Phase,
+    deadline: Instant,
+    /// Whether the first of `members` is not the head, which is unknown.
+    headless: bool,
+}
+
+/// How an order ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderResult {
+    /// It has begun.
+    Begun,
+    /// It is done, or the state already held.
+    Done,
+    /// It doesn't fit the host's state.
+    Conflict,
+    /// The host has seen a newer one, or is another host.
+    Refused,
+    /// No answer came: it may be carried out.
+    NoAnswer,
+    /// The connection was refused: the backend server has ended.
+    Unreachable,
+}
+
+/// The end of an order.
+#[derive(Debug, Clone)]
+pub struct OrderOutcome {
+    /// The order.
+    pub order: HostOrder,
+    /// How it ended.
+    pub result: OrderResult,
+}
+
+/// Decides about groups for one leader's term.
+#[derive(Debug)]
+pub struct Planner {
+    term: u64,
+    formed: u64,
+    limits: Limits,
+    groups: BTreeMap<GroupName, Group>,
+    ended: BTreeSet<GroupName>,
+    pending: BTreeSet<HostId>,
+    /// No order goes to a host before this time.
+    backoff: BTreeMap<HostId, Instant>,
+    staging: BTreeMap<HostId, Instant>,
+    gate: LoadGate,
+    engine_service: Option<ServiceId>,
+}
+
+/// What a member's reports say about its part in a group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Member {
+    /// It belongs to the group, in this state.
+    In(MemberState),
+    /// It takes part, but not in this group.
+    Elsewhere,
+    /// It has not been heard for too long.
+    Silent,
+    /// It ended, or began a new life.
+    Dead,
+}
+
+impl Planner {
+    /// A planner for a leader's term.
+    pub fn new(term: u64, limits: Limits) -> Planner {
+        Planner {
+            term,
+            formed: 0,
+            limits,
+            groups: BTreeMap::new(),
+            ended: BTreeSet::new(),
+            pending: BTreeSet::new(),
+            backoff: BTreeMap::new(),
+            staging: BTreeMap::new(),
+            gate: LoadGate::default(),
+            engine_service: None,
+        }
+    }
+
+    /// Groups that serve.
+    pub(crate) fn serving(&self) -> impl Iterator<Item = (&GroupName, &Group)> {
+        self.groups.iter().filter(|(_, group)| group.phase == Phase::Serving)
+    }
+
+    /// Groups by phase, for reports.
+    pub fn phases(&self) -> impl Iterator<Item = (&GroupName, &ModelId, Phase)> {
+        self.groups.iter().map(|(name, group)| (name, &group.model, group.phase))
+    }
+
+    /// Whether replicas of the service serve without a group.
+    pub(crate) fn is_plain(&self, service: &ServiceId) -> bool {
+        self.engine_service.as_ref() != Some(service)
+    }
+
+    /// Notes which service has engines; none if the manifest names none.
+    pub fn set_engine_service(&mut self, service: Option<ServiceId>) {
+        self.engine_service = service;
+    }
+
+    /// The orders that are due.
+    pub fn step(&mut self, input: &PlannerInput<'_>) -> Vec<HostOrder> {
+        let mut orders = Vec::new();
+        self.adopt(input);
+        let names: Vec<GroupName> = self.groups.keys().cloned().collect();
+        for name in names {
+            self.tend(&name, input, &mut orders);
+        }
+        self.staging.retain(|_, until| *until > input.now);
+        let mut free = self.free_hosts(input);
+        self.form(input, &mut free, &mut orders);
+        self.stage(input, &free, &mut orders);
+        orders
+    }
+
+    /// Notes the end of an order.
+    pub fn outcome(&mut self, outcome: &OrderOutcome, now: Instant) {
+        let host = &outcome.order.host;
+        self.pending.remove(host);
+        let resend = now + self.limits.resend;
+        match (&outcome.order.kind, outcome.result) {
+            (OrderKind::Join { group, epoch, .. }, result) => {
+                let Some(current) = self.groups.get_mut(group).filter(|g| g.epoch == *epoch) else {
+                    return;
+                };
+                match result {
+                    OrderResult::Begun | OrderResult::Done => {
+                        current.acked.insert(host.clone());
+                    }
+                    OrderResult::NoAnswer => {
+                        self.backoff.insert(host.clone(), resend);
+                    }
+                    _ => {
+                        current.deadline = now;
+                        self.backoff.insert(host.clone(), now + self.limits.form_slack);
+                    }
+                }
+            }
+            (OrderKind::Open { group, epoch }, OrderResult::Begun | OrderResult::Done) => {
+                if let Some(current) = self.groups.get_mut(group)
+                    && current.epoch == *epoch
+                    && current.phase == Phase::Forming
+                {
+                    current.phase = Phase::Opening;
+                }
+            }
+            (OrderKind::Close { group, epoch, .. }, OrderResult::Done | OrderResult::Refused) => {
+                if self.groups.get(group).is_some_and(|current| current.epoch == *epoch) {
+                    self.end(group);
+                }
+            }
+            (OrderKind::Close { group, .. }, OrderResult::Unreachable) => self.end(group),
+            (OrderKind::Stage { .. }, result) if result != OrderResult::Begun => {
+                self.staging.remove(host);
+                self.backoff.insert(host.clone(), resend);
+            }
+            _ => {
+                self.backoff.insert(host.clone(), resend);
+            }
+        }
+    }
+
+    fn end(&mut self, name: &GroupName) {
+        self.groups.remove(name);
+        self.ended.insert(name.clone());
+    }
+
+    /// Orders a host, unless another order to it is under way or was not answered lately.
+    fn order(
+        &mut self,
+        host: &HostId,
+        kind: OrderKind,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<HostOrder>,
+    ) -> bool {
+        let Some(seen) = input.registry.hosts().get(host) else {
+            return false;
+        };
+        let waits = self.backoff.get(host).is_some_and(|until| *until > input.now);
+        if waits || !self.pending.insert(host.clone()) {
+            return false;
+        }
+        self.backoff.remove(host);
+        orders.push(HostOrder {
+            host: host.clone(),
+            address: seen.report.address,
+            fence: self.term,
+            kind,
+        });
+        true
+    }
+
+    fn member(
+        &self,
+        name: &GroupName,
+        group: &Group,
+        rank: usize,
+        input: &PlannerInput<'_>,
+    ) -> Member {
+        let Some(seen) = input.registry.hosts().get(&group.members[rank]) else {
+            return Member::Dead;
+        };
+        if seen.gone || seen.report.born != group.lives[rank] {
+            return Member::Dead;
+        }
+        if !seen.is_present(self.limits.member_silence, input.now) {
+            return Member::Silent;
+        }
+        match &seen.report.membership {
+            Some(part) if part.group == *name && part.epoch == group.epoch => {
+                Member::In(part.state)
+            }
+            _ => Member::Elsewhere,
+        }
+    }
+
+    fn tend(&mut self, name: &GroupName, input: &PlannerInput<'_>, orders: &mut Vec<HostOrder>) {
+        let Some(group) = self.groups.get(name).cloned() else {
+            return;
+        };
+        let members: Vec<Member> =
+            (0..group.members.len()).map(|rank| self.member(name, &group, rank, input)).collect();
+        match group.phase {
+            Phase::Forming => self.tend_forming(name, &group, &members, input, orders),
+            Phase::Opening => self.tend_opening(name, &group, &members, input),
+            Phase::Serving => self.tend_serving(name, &group, &members, input),
+            Phase::Closing { cut } => {
+                self.tend_closing(name, &group, &members, cut, input, orders);
+            }
+            Phase::Breaking { until } => {
+                self.leave_all(name, &group, &members, input, orders);
+                if until <= input.now {
+                    self.end(name);
+                } else if !group.headless && members[0] != Member::Silent {
+                    self.set_phase(name, Phase::Closing { cut: true });
+                }
+            }
+        }
+    }
+
+    fn tend_forming(
+        &mut self,
+        name: &GroupName,
+        group: &Group,
+        members: &[Member],
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<HostOrder>,
+    ) {
+        let lost = members.iter().any(|member| matches!(member, Member::Dead | Member::Silent));
+        if lost || input.now >= group.deadline || self.any_leaves(group, input) {
+            self.end(name);
+            return;
+        }
+        let ready =
+            |member: &Member| matches!(member, Member::In(MemberState::Ready | MemberState::Open));
+        if members.iter().all(ready) {
+            let kind = OrderKind::Open { group: name.clone(), epoch: group.epoch };
+            self.order(&group.members[0], kind, input, orders);
+            return;
+        }
+        for host in group.members.iter().filter(|host| !group.acked.contains(*host)) {
+            let kind = join_order(name, group);
+            self.order(host, kind, input, orders);
+        }
+    }
+
+    fn tend_opening(
+        &mut self,
+        name: &GroupName,
+        group: &Group,
+        members: &[Member],
+        input: &PlannerInput<'_>,
+    ) {
+        let lost = members.iter().any(|member| !matches!(member, Member::In(_)));
+        if lost || input.now >= group.deadline {
+            self.set_phase(name, Phase::Closing { cut: true });
+        } else if members[0] == Member::In(MemberState::Open) {
+            self.set_phase(name, Phase::Serving);
+        }
+    }
+
+    fn tend_serving(
+        &mut self,
+        name: &GroupName,
+        group: &Group,
+        members: &[Member],
+        input: &PlannerInput<'_>,
+    ) {
+        let works = input.alive.contains(name);
+        let lost = members.iter().any(|member| match member {
+            // A member that only control can't hear does no harm while its head works.
+            Member::Silent => !works,
+            Member::Dead | Member::Elsewhere => true,
+            Member::In(state) => *state == MemberState::Broken,
+        });
+        if lost {
+            self.set_phase(name, Phase::Closing { cut: true });
+        } else if self.any_leaves(group, input) || input.engine.model(&group.model).is_none() {
+            self.set_phase(name, Phase::Closing { cut: false });
+        }
+    }
+
+    fn tend_closing(
+        &mut self,
+        name: &GroupName,
+        group: &Group,
+        members: &[Member],
+        cut: bool,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<HostOrder>,
+    ) {
+        match members[0] {
+            Member::Dead
+            | Member::Elsewhere
+            | Member::In(MemberState::Ready | MemberState::Broken | MemberState::Joining) => {
+                self.end(name);
+            }
+            Member::In(MemberState::Open | MemberState::Closing) => {
+                let lost = members.iter().any(|member| !matches!(member, Member::In(_)));
+                let kind =
+                    OrderKind::Close { group: name.clone(), epoch: group.epoch, cut: cut || lost };
+                self.order(&group.members[0], kind, input, orders);
+            }
+            Member::Silent => {
+                let until = input.now + self.limits.stall;
+                self.set_phase(name, Phase::Breaking { until });
+                self.leave_all(name, group, members, input, orders);
+            }
+        }
+    }
+
+    /// Makes the members that can be reached leave, so that the head breaks.
+    fn leave_all(
+        &mut self,
+        name: &GroupName,
+        group: &Group,
+        members: &[Member],
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<HostOrder>,
+    ) {
+        for (host, member) in group.members.iter().zip(members) {
+            if matches!(member, Member::In(_)) {
+                let kind = OrderKind::Leave { group: name.clone(), epoch: group.epoch };
+                self.order(host, kind, input, orders);
+            }
+        }
+    }
+
+    fn set_phase(&mut self, name: &GroupName, phase: Phase) {
+        if let Some(group) = self.groups.get_mut(name) {
+            group.phase = phase;
+        }
+    }
+
+    fn any_leaves(&self, group: &Group, input: &PlannerInput<'_>) -> bool {
+        let hosts = input.registry.hosts();
+        group.members.iter().any(|host| hosts.get(host).is_some_and(|seen| seen.report.leaving))
+    }
+
+    /// Takes over groups that an earlier leader formed, or that it left half formed.
+    fn adopt(&mut self, input: &PlannerInput<'_>) {
+        let mut parts: BTreeMap<(GroupName, Epoch), Vec<(usize, &HostSeen, MemberState)>> =
+            BTreeMap::new();
+        for seen in input.registry.hosts().values() {
+            let Some(Membership { group, epoch, rank, state }) = &seen.report.membership else {
+                continue;
+            };
+            let present = seen.is_present(self.limits.member_silence, input.now);
+            let known = self.groups.contains_key(group);
+            let head_serves =
+                *rank == 0 && matches!(state, MemberState::Open | MemberState::Closing);
+            if present && !known && (head_serves || !self.ended.contains(group)) {
+                parts.entry((group.clone(), *epoch)).or_default().push((*rank, seen, *state));
+            }
+        }
+        for ((name, epoch), mut members) in parts {
+            members.sort_by_key(|(rank, ..)| *rank);
+            let group = adopted_group(epoch, &members, input, &self.limits);
+            self.groups.insert(name, group);
+        }
+    }
+
+    fn free_hosts(&self, input: &PlannerInput<'_>) -> BTreeMap<FabricId, Vec<FreeHost>> {
+        let taken: BTreeSet<&HostId> =
+            self.groups.values().flat_map(|group| &group.members).collect();
+        let mut free: BTreeMap<FabricId, Vec<FreeHost>> = BTreeMap::new();
+        for (host, seen) in input.registry.hosts() {
+            let report = &seen.report;
+            let usable = report.service == *input.service
+                && seen.is_present(self.limits.member_silence, input.now)
+                && !report.leaving
+                && !input.domains_out.contains(&report.domain)
+                && !taken.contains(host)
+                && !self.pending.contains(host)
+                && !self.staging.contains_key(host)
+                && self.backoff.get(host).is_none_or(|until| *until <= input.now);
+            if usable {
+                free.entry(report.fabric.clone()).or_default().push(FreeHost {
+                    host: host.clone(),
+                    last_model: report.loaded.clone(),
+                    staged: report.staged.clone(),
+                });
+            }
+        }
+        free
+    }
+
+    fn form(
+        &mut self,
+        input: &PlannerInput<'_>,
+        free: &mut BTreeMap<FabricId, Vec<FreeHost>>,
+        orders: &mut Vec<HostOrder>,
+    ) {
+        loop {
+            let mut counts: BTreeMap<ModelId, usize> = BTreeMap::new();
+            for group in self.groups.values() {
+                *counts.entry(group.model.clone()).or_default() += 1;
+            }
+            let room = self.load_room(input);
+            let Some(candidate) = best_candidate(input.engine, free, &counts, room) else {
+                return;
+            };
+            if let Some(hosts) = free.get_mut(&candidate.fabric) {
+                hosts.retain(|host| !candidate.hosts.contains(&host.host));
+            }
+            self.start_group(candidate, input, orders);
+        }
+    }
+
+    fn start_group(
+        &mut self,
+        candidate: Candidate,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<HostOrder>,
+    ) {
+        self.formed += 1;
+        let epoch = (self.term << EPOCH_BITS) + self.formed;
+        let name: GroupName = format!("g{epoch}").into();
+        for _ in 0..candidate.loads {
+            self.gate.note(candidate.time, input.now);
+        }
+        let hosts = input.registry.hosts();
+        let born = |host: &HostId| hosts.get(host).map_or(0, |seen| seen.report.born);
+        let group = Group {
+            epoch,
+            model: candidate.model,
+            lives: candidate.hosts.iter().map(born).collect(),
+            members: candidate.hosts,
+            acked: BTreeSet::new(),
+            phase: Phase::Forming,
+            deadline: input.now + candidate.time + input.engine.form + self.limits.form_slack,
+            headless: false,
+        };
+        for host in &group.members {
+            self.order(host, join_order(&name, &group), input, orders);
+        }
+        self.groups.insert(name, group);
+    }
+
+    /// Puts weights on spare hosts, so that they can replace a member soon.
+    fn stage(
+        &mut self,
+        input: &PlannerInput<'_>,
+        free: &BTreeMap<FabricId, Vec<FreeHost>>,
+        orders: &mut Vec<HostOrder>,
+    ) {
+        for (fabric, hosts) in free {
+            let Some(wanted) = self.main_model(fabric, input) else {
+                continue;
+            };
+            for spare in hosts {
+                if !spare.staged.is_empty() || spare.last_model.is_some() {
+                    continue;
+                }
+                let Some(model) = input.engine.model(&wanted) else {
+                    continue;
+                };
+                if self.load_room(input) == 0 {
+                    return;
+                }
+                let kind = OrderKind::Stage { model: wanted.clone() };
+                if self.order(&spare.host, kind, input, orders) {
+                    self.gate.note(model.load, input.now);
+                    self.staging.insert(spare.host.clone(), input.now + model.load);
+                }
+            }
+        }
+    }
+
+    /// The model of most groups in a fabric domain.
+    fn main_model(&self, fabric: &FabricId, input: &PlannerInput<'_>) -> Option<ModelId> {
+        let mut counts: BTreeMap<&ModelId, usize> = BTreeMap::new();
+        for group in self.groups.values() {
+            let head = group.members.first().and_then(|host| input.registry.hosts().get(host));
+            if head.is_some_and(|seen| seen.report.fabric == *fabric) {
+                *counts.entry(&group.model).or_default() += 1;
+            }
+        }
+        counts.into_iter().max_by_key(|(_, count)| *count).map(|(model, _)| model.clone())
+    }
+
+    fn load_room(&mut self, input: &PlannerInput<'_>) -> usize {
+        if input.loads_unlimited { usize::MAX } else { self.gate.room(input.engine, input.now) }
+    }
+}
+
+fn join_order(name: &GroupName, group: &Group) -> OrderKind {
+    OrderKind::Join {
+        group: name.clone(),
+        epoch: group.epoch,
+        model: group.model.clone(),
+        members: group.members.clone(),
+    }
+}
+
+/// A group that was found in reports: it goes on if it is whole, and is closed otherwise.
+fn adopted_group(
+    epoch: Epoch,
+    members: &[(usize, &HostSeen, MemberState)],
+    input: &PlannerInput<'_>,
+    limits: &Limits,
+) -> Group {
+    let model = members[0].1.report.loaded.clone().unwrap_or_default();
+    let size = input.engine.model(&model).map_or(0, |model| model.size);
+    let whole = members.len() == size
+        && members.iter().enumerate().all(|(at, (rank, ..))| at == *rank)
+        && members.iter().all(|(_, seen, _)| seen.report.loaded.as_ref() == Some(&model));
+    let ready = members.iter().all(|(_, _, state)| *state != MemberState::Joining);
+    let phase = match members[0] {
+        (0, _, MemberState::Open) if whole && ready => Phase::Serving,
+        (0, _, MemberState::Ready) if whole && ready => Phase::Forming,
+        (0, ..) => Phase::Closing { cut: true },
+        // The head is unknown: it may serve behind a cut until it breaks.
+        _ => Phase::Breaking { until: input.now + limits.stall },
+    };
+    Group {
+        epoch,
+        model,
+        members: members.iter().map(|(_, seen, _)| seen.report.host.clone()).collect(),
+        lives: members.iter().map(|(_, seen, _)| seen.report.born).collect(),
+        acked: members.iter().map(|(_, seen, _)| seen.report.host.clone()).collect(),
+        phase,
+        deadline: input.now + input.engine.form + limits.form_slack,
+        headless: members[0].0 != 0,
+    }
+}
--- /dev/null
+++ b/crates/groups/src/registry.rs
@@ -0,0 +1,105 @@
+//! What hosts have reported.
+
+use crate::Limits;
+use fleet::HostReport;
+use model::ids::HostId;
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+/// A host that has reported.
+#[derive(Debug, Clone)]
+pub struct HostSeen {
+    /// The latest report.
+    pub report: HostReport,
+    /// When the latest report arrived.
+    pub heard: Instant,
+    /// When its cold start ends.
+    pub cold_until: Instant,
+    /// Whether it said that it ends, or another one has its address.
+    pub gone: bool,
+}
+
+impl HostSeen {
+    /// Whether the host takes part and was heard within `silence`.
+    pub fn is_present(&self, silence: Duration, now: Instant) -> bool {
+        !self.gone && now.saturating_duration_since(self.heard) <= silence
+    }
+
+    /// How long its cold start lasts on.
+    pub fn cold_left(&self, now: Instant) -> Duration {
+        self.cold_until.saturating_duration_since(now)
+    }
+}
+
+/// All hosts that have reported to this leader.
+#[derive(Debug, Default)]
+pub struct Registry {
+    hosts: BTreeMap<HostId, HostSeen>,
+    by_address: BTreeMap<SocketAddr, HostId>,
+}
+
+impl Registry {
+    /// The hosts.
+    pub fn hosts(&self) -> &BTreeMap<HostId, HostSeen> {
+        &self.hosts
+    }
+
+    /// A host that takes part and was heard within `silence`.
+    pub fn present(&self, host: &str, silence: Duration, now: Instant) -> Option<&HostSeen> {
+        self.hosts.get(host).filter(|seen| seen.is_present(silence, now))
+    }
+
+    /// Takes a report; returns whether it changed what is known. A report that an earlier
+    /// one of the same host, or a later life at the same address, has overtaken does not.
+    pub fn take(&mut self, report: HostReport, now: Instant) -> bool {
+        if let Some(seen) = self.hosts.get(&report.host) {
+            let same_life = seen.report.born == report.born;
+            if !report.supersedes(&seen.report) || (seen.gone && same_life) {
+                return false;
+            }
+        }
+        if !self.claim_address(&report) {
+            return false;
+        }
+        let seen = HostSeen { heard: now, cold_until: now + report.cold, gone: false, report };
+        self.hosts.insert(seen.report.host.clone(), seen);
+        true
+    }
+
+    /// Notes that a host ends; returns whether it was known.
+    pub fn remove(&mut self, host: &str) -> bool {
+        match self.hosts.get_mut(host) {
+            Some(seen) => {
+                seen.gone = true;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Forgets hosts that have been silent for long.
+    pub fn forget(&mut self, limits: &Limits, now: Instant) {
+        let keep = |heard: Instant| now.saturating_duration_since(heard) <= limits.forget;
+        self.hosts.retain(|_, seen| keep(seen.heard));
+        let hosts = &self.hosts;
+        self.by_address.retain(|_, host| hosts.contains_key(host));
+    }
+
+    /// Of two hosts at one address, the one that began later is there.
+    fn claim_address(&mut self, report: &HostReport) -> bool {
+        if let Some(other) = self.by_address.get(&report.address)
+            && *other != report.host
+            && let Some(seen) = self.hosts.get_mut(other)
+        {
+            if !seen.gone && seen.report.born > report.born {
+                return false;
+            }
+            seen.gone = true;
+        }
+        self.by_address.insert(report.address, report.host.clone());
+        true
+    }
+}
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -29,11 +29,13 @@
     pub header_bytes: usize,
     /// Largest body, in bytes; the handler enforces it.
     pub body_bytes: usize,
+    /// Longest wait for the headers of a request, on a new or an idle connection.
+    pub header_timeout: Duration,
 }
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { header_bytes: HEADER_MAX, body_bytes: BODY_MAX }
+        Limits { header_bytes: HEADER_MAX, body_bytes: BODY_MAX, header_timeout: HEADER_TIMEOUT }
     }
 }
 
@@ -106,7 +108,7 @@
     });
     let connection = http1::Builder::new()
         .timer(AsyncIoTimer)
-        .header_read_timeout(HEADER_TIMEOUT)
+        .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.header_bytes.max(HEADER_BUFFER_MIN))
         .serve_connection(FuturesIo::new(stream), service);
     let mut connection = pin!(connection);
--- a/crates/net/src/connect.rs
+++ b/crates/net/src/connect.rs
@@ -2,7 +2,7 @@
 
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, Socket, TcpKeepalive, Type};
 use std::{
     future::Future,
     io,
@@ -10,6 +10,15 @@
     time::Duration,
 };
 
+/// Longest time for which sent bytes may stay without an acknowledgement.
+const SILENCE_MAX: Duration = Duration::from_secs(3);
+/// Idle time after which the other side is probed; the kernel counts whole seconds.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+/// Pause between two probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Probes without an answer after which the connection fails.
+const KEEPALIVE_PROBES: u32 = 2;
+
 /// A TCP connection.
 pub type Stream = Async<TcpStream>;
 
@@ -22,6 +31,7 @@
     let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_nonblocking(true)?;
     socket.set_tcp_nodelay(true)?;
+    detect_silence(&socket)?;
     if let Some(from) = from {
         socket.bind(&SocketAddr::new(from, 0).into())?;
     }
@@ -42,6 +52,17 @@
     Ok(stream)
 }
 
+/// Makes the connection fail when the other side has been silent for a few seconds: a host
+/// without power, or behind a cut, neither answers nor closes it.
+fn detect_silence(socket: &Socket) -> io::Result<()> {
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_PROBES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(SILENCE_MAX))
+}
+
 /// Runs a future for at most `limit`.
 ///
 /// # Errors
--- a/crates/net/src/signals.rs
+++ b/crates/net/src/signals.rs
@@ -14,3 +14,14 @@
     signals.next().await;
     Ok(())
 }
+
+/// Waits for SIGHUP, once for each call.
+///
+/// # Errors
+///
+/// Fails if the signal can't be watched.
+pub async fn wait_for_reload_signal() -> io::Result<()> {
+    let mut signals = Signals::new([Signal::Hup])?;
+    signals.next().await;
+    Ok(())
+}
