--- a/bin/entry/src/config.rs
+++ b/bin/entry/src/config.rs
@@ -136,7 +136,11 @@
             control,
             secret,
             token,
-            limits: Limits { header_bytes: args.header_bytes, body_bytes: args.body_bytes },
+            limits: Limits {
+                header_bytes: args.header_bytes,
+                body_bytes: args.body_bytes,
+                ..Limits::default()
+            },
             choice,
             workers: args.workers,
         })
--- a/crates/coordinator/src/driver.rs
+++ b/crates/coordinator/src/driver.rs
@@ -199,6 +199,12 @@
             Event::EntryClosed { session } => self.close_entry(session),
             Event::OrderDone(outcome) => self.take_outcome(&outcome, now),
             Event::Call { call, reply } => self.take_call(call, reply, now),
+            Event::Seeds(seeds) => {
+                for seed in &seeds {
+                    self.link_to(*seed);
+                }
+                self.config.seeds = seeds;
+            }
             Event::Dump(reply) => {
                 let _ = reply.send(self.dump(now));
             }
--- a/crates/coordinator/src/events.rs
+++ b/crates/coordinator/src/events.rs
@@ -43,6 +43,8 @@
         /// Takes the answer.
         reply: Sender<Reply>,
     },
+    /// The settings name other seeds.
+    Seeds(Vec<SocketAddr>),
     /// Asks for a dump of the state.
     Dump(mpsc::Sender<serde_json::Value>),
     /// Ends the driver.
--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader.rs
@@ -5,7 +5,9 @@
     events::{Event, Reply, SessionId},
 };
 use async_channel::Sender;
-use fleet::{ControlMessage, EntryMessage, EntryStatus, HostReport, Manifest, RoutingView};
+use fleet::{
+    ControlMessage, EntryMessage, EntryStatus, HostReport, Manifest, OrderKind, RoutingView,
+};
 use groups::{OrderOutcome, OrderResult, Planner, PlannerInput, Registry, routing_view};
 use log::info;
 use model::ids::{HostId, ServiceId};
@@ -196,6 +198,8 @@
                     leading.changed = true;
                 }
                 leading.traffic |= status.served > 0;
+                let old = before.map(|(before, _)| &before.stalled);
+                leading.changed |= !status.stalled.is_empty() && old != Some(&status.stalled);
                 leading.entries.insert(session, (status, now));
             }
             _ => {
@@ -263,6 +267,10 @@
         if !matches!(outcome.result, OrderResult::Begun | OrderResult::Done) {
             self.counters.orders_failed.inc();
         }
+        let unanswered = matches!(outcome.result, OrderResult::NoAnswer | OrderResult::Unreachable);
+        if outcome.order.kind == OrderKind::Probe && unanswered {
+            leading.registry.suspect(&outcome.order.host);
+        }
         // An order of an earlier term must not settle one of this term.
         if outcome.order.fence == self.node.term() {
             leading.planner.outcome(outcome, now);
@@ -275,11 +283,13 @@
         if !self.node.holds_lease(now) {
             return;
         }
-        let learn = self.config.report_every.mul_f64(1.0 + LEARN_SLACK);
         let known = self.known();
         let Some(leading) = &mut self.leading else {
             return;
         };
+        // Without any group there is no service to resume, and a plan needs all hosts.
+        let intervals = if leading.registry.any_member() { 1.0 } else { 2.0 };
+        let learn = self.config.report_every.mul_f64(intervals + LEARN_SLACK);
         leading.expire_entries(now);
         let learned = now >= leading.since + learn;
         let due = (leading.changed && now >= leading.plan_at + PLAN_PAUSE)
@@ -319,13 +329,15 @@
             return;
         };
         let statuses = leading.entries.values();
-        let alive = statuses.flat_map(|(status, _)| status.alive.iter().cloned()).collect();
+        let alive = statuses.clone().flat_map(|(status, _)| status.alive.iter().cloned()).collect();
+        let stalled = statuses.flat_map(|(status, _)| status.stalled.iter().cloned()).collect();
         let input = PlannerInput {
             registry: &leading.registry,
             service: name,
             engine,
             domains_out: &self.ledger.domains_out,
             alive: &alive,
+            stalled: &stalled,
             loads_unlimited: !leading.traffic,
             now,
         };
--- a/crates/fleet/src/host.rs
+++ b/crates/fleet/src/host.rs
@@ -121,6 +121,8 @@
         /// The number of the membership.
         epoch: Epoch,
     },
+    /// Answer, to show that the backend server lives.
+    Probe,
     /// Load weights beside all other work.
     Stage {
         /// The model.
@@ -136,6 +138,7 @@
             OrderKind::Open { .. } => "open",
             OrderKind::Close { .. } => "close",
             OrderKind::Leave { .. } => "leave",
+            OrderKind::Probe => "probe",
             OrderKind::Stage { .. } => "stage",
         }
     }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -34,6 +34,9 @@
 /// When to come back if no backend server offers what a request needs: about the time in
 /// which a group forms again.
 const NOBODY_RETRY: Duration = Duration::from_millis(1000);
+/// Longest wait for the beginning of an answer if another backend server may be tried:
+/// several times what a full engine needs for a long prompt.
+const FIRST_WAIT: Duration = Duration::from_millis(1000);
 /// Headers that concern one connection only.
 const HOP_HEADERS: [HeaderName; 7] = [
     header::CONNECTION,
@@ -215,11 +218,15 @@
             let choice = self.choose(job, now)?;
             job.tries += 1;
             let left = job.deadline - now;
+            let limit = if job.kind.may_repeat() { left.min(FIRST_WAIT) } else { left };
             let host = choice.replica.host.clone();
-            let tried = with_timeout(left, self.try_once(job, choice)).await;
+            let tried = with_timeout(limit, self.try_once(job, choice)).await;
             let fault = match tried {
                 Ok(Ok(answer)) => return Ok(answer),
                 Ok(Err(fault)) => fault,
+                Err(_) if limit < left => {
+                    TryFault { verdict: Verdict::MayHaveRun, cause: "no answer yet".into() }
+                }
                 Err(_) => {
                     job.verdict = Verdict::MayHaveRun;
                     return Err(Refusal::TimedOut { verdict: Verdict::MayHaveRun });
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -1,6 +1,7 @@
 //! The conversation with control: manifests and routing views in, the entry's status out.
 
 use crate::{metrics::Counters, shared::Shared};
+use async_channel::Receiver;
 use async_io::Timer;
 use base::secret::Secret;
 use fleet::{ControlMessage, ENTRY_SESSION_PATH, EntryMessage};
@@ -14,7 +15,7 @@
 };
 
 /// How often an entry reports.
-const STATUS_EVERY: Duration = Duration::from_millis(300);
+const STATUS_EVERY: Duration = Duration::from_millis(200);
 /// Silence of control after which the entry turns to another control process.
 const CONTROL_SILENCE: Duration = Duration::from_millis(1500);
 /// Pause between two conversations.
@@ -29,6 +30,8 @@
     pub from: IpAddr,
     /// Where some control processes take conversations.
     pub seeds: Vec<SocketAddr>,
+    /// Brings other seeds when the settings change.
+    pub new_seeds: Receiver<Vec<SocketAddr>>,
     /// The secret of the system's own processes.
     pub secret: Secret,
 }
@@ -56,6 +59,9 @@
         let mut turn = fastrand::usize(..);
         let mut leader = None;
         loop {
+            while let Ok(seeds) = self.cfg.new_seeds.try_recv() {
+                self.learn(&seeds);
+            }
             let to = leader.take().unwrap_or_else(|| {
                 turn = turn.wrapping_add(1);
                 self.known[turn % self.known.len()]
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -20,7 +20,7 @@
 
 /// Longest wait for the next event of a stream that another backend server could go on
 /// with: several passes of a full engine.
-const EVENT_WAIT: Duration = Duration::from_millis(900);
+const EVENT_WAIT: Duration = Duration::from_millis(700);
 
 /// A stream that is passed on.
 #[derive(Debug)]
--- a/crates/groups/src/limits.rs
+++ b/crates/groups/src/limits.rs
@@ -17,6 +17,8 @@
     pub forget: Duration,
     /// Wait before an order without a clear answer is sent again.
     pub resend: Duration,
+    /// Shortest time between two rounds of probes to the members of one group.
+    pub probe_pause: Duration,
     /// Time allowed for a join or an opening beyond the expected one.
     pub form_slack: Duration,
 }
@@ -31,6 +33,7 @@
             stall: stall + Duration::from_millis(300),
             forget: Duration::from_secs(120),
             resend: Duration::from_millis(400),
+            probe_pause: Duration::from_millis(1500),
             form_slack: Duration::from_secs(4),
         }
     }
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -29,6 +29,8 @@
     pub domains_out: &'a BTreeSet<DomainId>,
     /// Groups whose head an entry has seen working lately.
     pub alive: &'a BTreeSet<GroupName>,
+    /// Groups whose head has stood still with work to do.
+    pub stalled: &'a BTreeSet<GroupName>,
     /// Whether loads are free of limits, as they are until callers send requests.
     pub loads_unlimited: bool,
     /// The time.
@@ -67,6 +69,15 @@
     acked: BTreeSet<HostId>,
     pub(crate) phase: Phase,
     deadline: Instant,
+    /// When the head was last told to open, if it was or may have been.
+    open_asked: Option<Instant>,
+    /// Whether an order to open may still be carried out later.
+    open_unsure: bool,
+    /// When the head began to close.
+    close_begun: Option<Instant>,
+    /// Whether the head has certainly closed.
+    closed: bool,
+    probed: Option<Instant>,
     /// Whether the first of `members` is not the head, which is unknown.
     headless: bool,
 }
@@ -78,10 +89,10 @@
     Begun,
     /// It is done, or the state already held.
     Done,
-    /// It doesn't fit the host's state.
+    /// It doesn't fit the host's state, or the host has seen a newer one.
     Conflict,
-    /// The host has seen a newer one, or is another host.
-    Refused,
+    /// Another backend server has the address.
+    WrongHost,
     /// No answer came: it may be carried out.
     NoAnswer,
     /// The connection was refused: the backend server has ended.
@@ -108,7 +119,8 @@
     pending: BTreeSet<HostId>,
     /// No order goes to a host before this time.
     backoff: BTreeMap<HostId, Instant>,
-    staging: BTreeMap<HostId, Instant>,
+    /// What is being staged, and until when that takes at most.
+    staging: BTreeMap<HostId, (ModelId, Instant)>,
     gate: LoadGate,
     engine_service: Option<ServiceId>,
 }
@@ -126,6 +138,9 @@
     Dead,
 }
 
+/// A member that reports a group: its rank, its host and its state.
+type Part<'a> = (usize, &'a HostSeen, MemberState);
+
 impl Planner {
     /// A planner for a leader's term.
     pub fn new(term: u64, limits: Limits) -> Planner {
@@ -171,7 +186,11 @@
         for name in names {
             self.tend(&name, input, &mut orders);
         }
-        self.staging.retain(|_, until| *until > input.now);
+        let hosts = input.registry.hosts();
+        self.staging.retain(|host, (model, until)| {
+            let staged = hosts.get(host).is_some_and(|seen| seen.report.staged.contains(model));
+            !staged && *until > input.now
+        });
         let mut free = self.free_hosts(input);
         self.form(input, &mut free, &mut orders);
         self.stage(input, &free, &mut orders);
@@ -183,48 +202,82 @@
         let host = &outcome.order.host;
         self.pending.remove(host);
         let resend = now + self.limits.resend;
-        match (&outcome.order.kind, outcome.result) {
-            (OrderKind::Join { group, epoch, .. }, result) => {
-                let Some(current) = self.groups.get_mut(group).filter(|g| g.epoch == *epoch) else {
-                    return;
-                };
-                match result {
-                    OrderResult::Begun | OrderResult::Done => {
-                        current.acked.insert(host.clone());
-                    }
-                    OrderResult::NoAnswer => {
-                        self.backoff.insert(host.clone(), resend);
-                    }
-                    _ => {
-                        current.deadline = now;
-                        self.backoff.insert(host.clone(), now + self.limits.form_slack);
+        let gone = matches!(outcome.result, OrderResult::Unreachable | OrderResult::WrongHost);
+        let accepted = matches!(outcome.result, OrderResult::Begun | OrderResult::Done);
+        if !accepted {
+            self.backoff.insert(host.clone(), resend);
+        }
+        match &outcome.order.kind {
+            OrderKind::Join { group, epoch, .. } => {
+                self.join_ended(group, *epoch, host, outcome.result, now);
+            }
+            OrderKind::Open { group, epoch } => {
+                if let Some(current) = self.group_mut(group, *epoch) {
+                    current.open_unsure |= outcome.result == OrderResult::NoAnswer;
+                    if accepted && current.phase == Phase::Forming {
+                        current.phase = Phase::Opening;
                     }
                 }
             }
-            (OrderKind::Open { group, epoch }, OrderResult::Begun | OrderResult::Done) => {
-                if let Some(current) = self.groups.get_mut(group)
-                    && current.epoch == *epoch
-                    && current.phase == Phase::Forming
-                {
-                    current.phase = Phase::Opening;
+            OrderKind::Close { group, .. } if gone => self.end(group),
+            OrderKind::Close { group, epoch, .. } => {
+                let form_slack = self.limits.resend * 2;
+                if let Some(current) = self.group_mut(group, *epoch) {
+                    let opening = current.open_asked.is_some_and(|at| now < at + form_slack);
+                    match outcome.result {
+                        OrderResult::Done => current.closed = true,
+                        OrderResult::Begun => current.close_begun = Some(now),
+                        OrderResult::Conflict => current.closed = !opening,
+                        _ => {}
+                    }
                 }
             }
-            (OrderKind::Close { group, epoch, .. }, OrderResult::Done | OrderResult::Refused) => {
-                if self.groups.get(group).is_some_and(|current| current.epoch == *epoch) {
+            OrderKind::Leave { group, epoch } => {
+                let left = accepted || gone;
+                let head = self
+                    .group_mut(group, *epoch)
+                    .is_some_and(|current| !current.headless && current.members[0] == *host);
+                if left && head {
                     self.end(group);
                 }
             }
-            (OrderKind::Close { group, .. }, OrderResult::Unreachable) => self.end(group),
-            (OrderKind::Stage { .. }, result) if result != OrderResult::Begun => {
-                self.staging.remove(host);
-                self.backoff.insert(host.clone(), resend);
+            OrderKind::Stage { .. } => {
+                if !accepted {
+                    self.staging.remove(host);
+                }
+            }
+            OrderKind::Probe => {}
+        }
+    }
+
+    fn join_ended(
+        &mut self,
+        group: &GroupName,
+        epoch: Epoch,
+        host: &HostId,
+        result: OrderResult,
+        now: Instant,
+    ) {
+        let pause = now + self.limits.form_slack;
+        let Some(current) = self.group_mut(group, epoch) else {
+            return;
+        };
+        match result {
+            OrderResult::Begun | OrderResult::Done => {
+                current.acked.insert(host.clone());
             }
-            _ => {
-                self.backoff.insert(host.clone(), resend);
+            OrderResult::NoAnswer => {}
+            OrderResult::Conflict | OrderResult::WrongHost | OrderResult::Unreachable => {
+                current.deadline = now;
+                self.backoff.insert(host.clone(), pause);
             }
         }
     }
 
+    fn group_mut(&mut self, name: &GroupName, epoch: Epoch) -> Option<&mut Group> {
+        self.groups.get_mut(name).filter(|group| group.epoch == epoch)
+    }
+
     fn end(&mut self, name: &GroupName) {
         self.groups.remove(name);
         self.ended.insert(name.clone());
@@ -288,7 +341,7 @@
         match group.phase {
             Phase::Forming => self.tend_forming(name, &group, &members, input, orders),
             Phase::Opening => self.tend_opening(name, &group, &members, input),
-            Phase::Serving => self.tend_serving(name, &group, &members, input),
+            Phase::Serving => self.tend_serving(name, &group, &members, input, orders),
             Phase::Closing { cut } => {
                 self.tend_closing(name, &group, &members, cut, input, orders);
             }
@@ -313,14 +366,22 @@
     ) {
         let lost = members.iter().any(|member| matches!(member, Member::Dead | Member::Silent));
         if lost || input.now >= group.deadline || self.any_leaves(group, input) {
-            self.end(name);
+            if group.open_asked.is_some() {
+                self.set_phase(name, Phase::Closing { cut: true });
+            } else {
+                self.end(name);
+            }
             return;
         }
         let ready =
             |member: &Member| matches!(member, Member::In(MemberState::Ready | MemberState::Open));
         if members.iter().all(ready) {
             let kind = OrderKind::Open { group: name.clone(), epoch: group.epoch };
-            self.order(&group.members[0], kind, input, orders);
+            if self.order(&group.members[0], kind, input, orders)
+                && let Some(current) = self.groups.get_mut(name)
+            {
+                current.open_asked = Some(input.now);
+            }
             return;
         }
         for host in group.members.iter().filter(|host| !group.acked.contains(*host)) {
@@ -350,8 +411,12 @@
         group: &Group,
         members: &[Member],
         input: &PlannerInput<'_>,
+        orders: &mut Vec<HostOrder>,
     ) {
         let works = input.alive.contains(name);
+        if !works && input.stalled.contains(name) {
+            self.probe_members(name, group, input, orders);
+        }
         let lost = members.iter().any(|member| match member {
             // A member that only control can't hear does no harm while its head works.
             Member::Silent => !works,
@@ -374,17 +439,26 @@
         input: &PlannerInput<'_>,
         orders: &mut Vec<HostOrder>,
     ) {
+        let head = &group.members[0];
         match members[0] {
-            Member::Dead
-            | Member::Elsewhere
-            | Member::In(MemberState::Ready | MemberState::Broken | MemberState::Joining) => {
-                self.end(name);
-            }
-            Member::In(MemberState::Open | MemberState::Closing) => {
-                let lost = members.iter().any(|member| !matches!(member, Member::In(_)));
-                let kind =
-                    OrderKind::Close { group: name.clone(), epoch: group.epoch, cut: cut || lost };
-                self.order(&group.members[0], kind, input, orders);
+            Member::Dead | Member::Elsewhere => self.end(name),
+            Member::In(MemberState::Broken) if !group.open_unsure => self.end(name),
+            Member::In(state) => {
+                let heard = input.registry.hosts().get(head).map(|seen| seen.heard);
+                let seen_closed = state == MemberState::Ready
+                    && group.close_begun.is_some_and(|at| heard.is_some_and(|heard| heard > at));
+                if !(group.closed || seen_closed) {
+                    let lost = members.iter().any(|member| !matches!(member, Member::In(_)));
+                    let cut = cut || lost;
+                    let kind = OrderKind::Close { group: name.clone(), epoch: group.epoch, cut };
+                    self.order(head, kind, input, orders);
+                } else if group.open_unsure {
+                    // An order to open that comes late finds no such group then.
+                    let kind = OrderKind::Leave { group: name.clone(), epoch: group.epoch };
+                    self.order(head, kind, input, orders);
+                } else {
+                    self.end(name);
+                }
             }
             Member::Silent => {
                 let until = input.now + self.limits.stall;
@@ -411,6 +485,25 @@
         }
     }
 
+    /// Asks all members whether they live, since their head has stood still.
+    fn probe_members(
+        &mut self,
+        name: &GroupName,
+        group: &Group,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<HostOrder>,
+    ) {
+        if group.probed.is_some_and(|at| input.now < at + self.limits.probe_pause) {
+            return;
+        }
+        for host in &group.members {
+            self.order(host, OrderKind::Probe, input, orders);
+        }
+        if let Some(current) = self.groups.get_mut(name) {
+            current.probed = Some(input.now);
+        }
+    }
+
     fn set_phase(&mut self, name: &GroupName, phase: Phase) {
         if let Some(group) = self.groups.get_mut(name) {
             group.phase = phase;
@@ -424,8 +517,7 @@
 
     /// Takes over groups that an earlier leader formed, or that it left half formed.
     fn adopt(&mut self, input: &PlannerInput<'_>) {
-        let mut parts: BTreeMap<(GroupName, Epoch), Vec<(usize, &HostSeen, MemberState)>> =
-            BTreeMap::new();
+        let mut parts: BTreeMap<(GroupName, Epoch), Vec<Part<'_>>> = BTreeMap::new();
         for seen in input.registry.hosts().values() {
             let Some(Membership { group, epoch, rank, state }) = &seen.report.membership else {
                 continue;
@@ -515,6 +607,11 @@
             phase: Phase::Forming,
             deadline: input.now + candidate.time + input.engine.form + self.limits.form_slack,
             headless: false,
+            open_asked: None,
+            open_unsure: false,
+            close_begun: None,
+            closed: false,
+            probed: None,
         };
         for host in &group.members {
             self.order(host, join_order(&name, &group), input, orders);
@@ -546,7 +643,8 @@
                 let kind = OrderKind::Stage { model: wanted.clone() };
                 if self.order(&spare.host, kind, input, orders) {
                     self.gate.note(model.load, input.now);
-                    self.staging.insert(spare.host.clone(), input.now + model.load);
+                    let entry = (wanted.clone(), input.now + model.load);
+                    self.staging.insert(spare.host.clone(), entry);
                 }
             }
         }
@@ -581,7 +679,7 @@
 /// A group that was found in reports: it goes on if it is whole, and is closed otherwise.
 fn adopted_group(
     epoch: Epoch,
-    members: &[(usize, &HostSeen, MemberState)],
+    members: &[Part<'_>],
     input: &PlannerInput<'_>,
     limits: &Limits,
 ) -> Group {
@@ -607,5 +705,11 @@
         phase,
         deadline: input.now + input.engine.form + limits.form_slack,
         headless: members[0].0 != 0,
+        // An order of the earlier leader to open it may be on its way.
+        open_asked: Some(input.now),
+        open_unsure: true,
+        close_begun: None,
+        closed: false,
+        probed: None,
     }
 }
--- a/crates/groups/src/registry.rs
+++ b/crates/groups/src/registry.rs
@@ -20,12 +20,14 @@
     pub cold_until: Instant,
     /// Whether it said that it ends, or another one has its address.
     pub gone: bool,
+    /// Whether it left a probe unanswered since its latest report.
+    pub suspect: bool,
 }
 
 impl HostSeen {
     /// Whether the host takes part and was heard within `silence`.
     pub fn is_present(&self, silence: Duration, now: Instant) -> bool {
-        !self.gone && now.saturating_duration_since(self.heard) <= silence
+        !self.gone && !self.suspect && now.saturating_duration_since(self.heard) <= silence
     }
 
     /// How long its cold start lasts on.
@@ -64,7 +66,13 @@
         if !self.claim_address(&report) {
             return false;
         }
-        let seen = HostSeen { heard: now, cold_until: now + report.cold, gone: false, report };
+        let seen = HostSeen {
+            heard: now,
+            cold_until: now + report.cold,
+            gone: false,
+            suspect: false,
+            report,
+        };
         self.hosts.insert(seen.report.host.clone(), seen);
         true
     }
@@ -80,6 +88,18 @@
         }
     }
 
+    /// Notes that a host left a probe unanswered; its next report clears it.
+    pub fn suspect(&mut self, host: &str) {
+        if let Some(seen) = self.hosts.get_mut(host) {
+            seen.suspect = true;
+        }
+    }
+
+    /// Whether some host belongs to a group.
+    pub fn any_member(&self) -> bool {
+        self.hosts.values().any(|seen| seen.report.membership.is_some())
+    }
+
     /// Forgets hosts that have been silent for long.
     pub fn forget(&mut self, limits: &Limits, now: Instant) {
         let keep = |heard: Instant| now.saturating_duration_since(heard) <= limits.forget;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -9,5 +9,5 @@
 pub use connect::{Stream, connect, with_timeout};
 pub use listen::{Listener, bind};
 pub use pool::{Pool, start_pool};
-pub use signals::{wait_for_reload_signal, wait_for_stop_signal};
+pub use signals::{ReloadSignal, wait_for_stop_signal};
 pub use stop::{InFlight, Stop};
