Commit groups to the log before joins; resume them only with a complete ledger

Cause: a new leader learned groups from reports alone. With groups in the log a host is free only if no record names it. Ruled out: orders to open carried out late (heads are made to leave where that is unsure).

--- a/crates/base/src/logs.rs
+++ b/crates/base/src/logs.rs
@@ -27,3 +27,14 @@
         .build();
     let _ = WriteLogger::init(LevelFilter::Info, cfg, target);
 }
+
+/// Ends the process when any of its threads panics: the others would go on without it.
+/// The exit code tells a panic from a wrong setting and from a fault of the storage.
+pub fn exit_on_panic() {
+    std::panic::set_hook(Box::new(|info| {
+        log::error!("event=panic cause=\"{}\"", info.to_string().replace(['"', '\n'], " "));
+        std::process::exit(EXIT_PANIC)
+    }));
+}
+
+const EXIT_PANIC: i32 = 4;
--- a/crates/coordinator/src/driver.rs
+++ b/crates/coordinator/src/driver.rs
@@ -17,7 +17,7 @@
     limits::{ELECTION_MAX, ELECTION_MIN, HELLO_EVERY, LEADER_LEASE, LOG_HEARTBEAT},
 };
 use fastrand::Rng;
-use fleet::{ControlGossip, ControlMessage, LogMessage};
+use fleet::{ControlGossip, ControlMessage, GroupChange, LogMessage};
 use groups::Limits;
 use log::{info, warn};
 use model::ids::ControlId;
@@ -77,7 +77,7 @@
 #[derive(Debug)]
 struct Pending {
     term: Term,
-    reply: Sender<Reply>,
+    reply: Option<Sender<Reply>>,
 }
 
 /// Owns everything that must change in one order.
@@ -220,7 +220,7 @@
             return;
         }
         match call {
-            Call::Change(command) => self.propose(&command, reply),
+            Call::Change(command) => self.propose(&command, Some(reply)),
             Call::ReadManifest => {
                 let answer = match &self.ledger.manifest {
                     Some(stored) => Reply::Manifest(stored.body.clone()),
@@ -239,7 +239,7 @@
         self.peers.get(&leader).map(|peer| &peer.gossip)
     }
 
-    fn propose(&mut self, command: &Command, reply: Sender<Reply>) {
+    pub(crate) fn propose(&mut self, command: &Command, reply: Option<Sender<Reply>>) {
         let encoded = bincode::serde::encode_to_vec(command, bincode::config::standard())
             .expect("encoding into memory fails only for unsupported types");
         match self.node.propose(encoded) {
@@ -247,9 +247,7 @@
                 let term = self.node.term();
                 self.pending.insert(index, Pending { term, reply });
             }
-            Err(_) => {
-                let _ = reply.try_send(Reply::NotLeader(None));
-            }
+            Err(_) => answer(reply, Reply::NotLeader(None)),
         }
     }
 
@@ -303,10 +301,9 @@
                 break;
             }
             let (at, pending) = first.remove_entry();
-            if at == index && pending.term == term {
-                self.answer_applied(pending.reply);
-            } else {
-                let _ = pending.reply.try_send(Reply::NotLeader(None));
+            match pending.reply {
+                Some(reply) if at == index && pending.term == term => self.answer_applied(reply),
+                reply => answer(reply, Reply::NotLeader(None)),
             }
         }
     }
@@ -315,8 +312,15 @@
         let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
         match decoded {
             Ok((command, _)) => {
+                let formed = match &command {
+                    Command::Group(GroupChange::Formed { name, .. }) => Some(name.clone()),
+                    _ => None,
+                };
                 let word = command_word(&command);
                 let changed = self.ledger.apply(index, command);
+                if let Some(name) = formed {
+                    self.group_committed(&name);
+                }
                 let number = self.ledger.number();
                 info!("event=applied index={index} change={word} manifest={number}");
                 if changed {
@@ -463,8 +467,10 @@
     }
 
     fn follow_role(&mut self, now: Instant) {
-        let leads = self.node.role() == Role::Leader;
         let current = self.leading.as_ref().map(|leading| leading.since);
+        // Before its first record is committed a leader's ledger may lack the last changes.
+        let leads =
+            self.node.role() == Role::Leader && (current.is_some() || self.node.holds_lease(now));
         match (leads, current) {
             (true, Some(since)) if self.node.elected_at() > Some(since) => {
                 // It lost and won between two turns: what it learned may be out of date.
@@ -485,11 +491,20 @@
     }
 }
 
+fn answer(reply: Option<Sender<Reply>>, answer: Reply) {
+    if let Some(reply) = reply {
+        // The caller may have given up.
+        let _ = reply.try_send(answer);
+    }
+}
+
 fn command_word(command: &Command) -> &'static str {
     match command {
         Command::Manifest(_) => "manifest",
         Command::DomainOut(_) => "domain_out",
         Command::DomainBack(_) => "domain_back",
+        Command::Group(GroupChange::Formed { .. }) => "group_formed",
+        Command::Group(GroupChange::Ended { .. }) => "group_ended",
     }
 }
 
--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader.rs
@@ -3,10 +3,12 @@
 use crate::{
     driver::Driver,
     events::{Event, Reply, SessionId},
+    ledger::Command,
 };
 use async_channel::Sender;
 use fleet::{
-    ControlMessage, EntryMessage, EntryStatus, HostReport, Manifest, OrderKind, RoutingView,
+    ControlMessage, EntryMessage, EntryStatus, GroupName, HostReport, Manifest, OrderKind,
+    RoutingView,
 };
 use groups::{OrderOutcome, OrderResult, Planner, PlannerInput, Registry, routing_view};
 use log::info;
@@ -26,9 +28,8 @@
 const ALIVE_EVERY: Duration = Duration::from_millis(500);
 /// Silence after which an entry leaves the directory: a few of its reports.
 const ENTRY_SILENCE: Duration = Duration::from_millis(1500);
-/// Part of a report interval that a new leader waits beyond the first, so that every host
-/// in touch has reported to it.
-const LEARN_SLACK: f64 = 0.3;
+/// Report intervals for which the first leader waits, so that every host has reported.
+const LEARN_INTERVALS: f64 = 2.3;
 /// Shortest time between two views that differ only in remaining cold times.
 const COLD_STEP: Duration = Duration::from_millis(1000);
 
@@ -47,6 +48,8 @@
     plan_at: Instant,
     changed: bool,
     traffic: bool,
+    /// Whether groups of an earlier leader exist.
+    resumes: bool,
     /// Calls that are answered once the view that follows from them is on its way.
     after_view: Vec<Sender<Reply>>,
 }
@@ -85,7 +88,13 @@
         self.leading = Some(Leading {
             since: now,
             registry: Registry::default(),
-            planner: Planner::new(self.node.term(), self.config.limits.clone()),
+            planner: Planner::resume(
+                self.node.term(),
+                self.config.limits.clone(),
+                &self.ledger.groups,
+                now,
+            ),
+            resumes: !self.ledger.groups.is_empty(),
             entries: BTreeMap::new(),
             manifest: None,
             engine_service: None,
@@ -121,6 +130,13 @@
         others.chain([self.config.peer_address]).collect()
     }
 
+    /// Lets the members of a group be told to join.
+    pub(crate) fn group_committed(&mut self, name: &GroupName) {
+        if let Some(leading) = &mut self.leading {
+            leading.planner.committed(name);
+        }
+    }
+
     pub(crate) fn mark_changed(&mut self) {
         if let Some(leading) = &mut self.leading {
             leading.changed = true;
@@ -287,18 +303,22 @@
         let Some(leading) = &mut self.leading else {
             return;
         };
-        // Without any group there is no service to resume, and a plan needs all hosts.
-        let intervals = if leading.registry.any_member() { 1.0 } else { 2.0 };
-        let learn = self.config.report_every.mul_f64(intervals + LEARN_SLACK);
+        let learn = match leading.resumes {
+            true => self.config.limits.learn,
+            // Nothing serves yet, and a plan needs all hosts.
+            false => self.config.report_every.mul_f64(LEARN_INTERVALS),
+        };
         leading.expire_entries(now);
         let learned = now >= leading.since + learn;
         let due = (leading.changed && now >= leading.plan_at + PLAN_PAUSE)
             || now >= leading.plan_at + PLAN_EVERY;
-        if learned && due {
+        if due && (learned || leading.resumes) {
             leading.plan_at = now;
             leading.changed = false;
             self.plan(now);
-            self.publish(now);
+            if learned {
+                self.publish(now);
+            }
         }
         let Some(leading) = &mut self.leading else {
             return;
@@ -342,9 +362,12 @@
             now,
         };
         let before = leading.planner.phases().map(|(n, _, p)| (n.clone(), p)).collect();
-        let orders = leading.planner.step(&input);
+        let step = leading.planner.step(&input);
         log_phases(&before, &leading.planner);
-        for order in orders {
+        for change in step.changes {
+            self.propose(&Command::Group(change), None);
+        }
+        for order in step.orders {
             info!("event=order host={} order={:?}", order.host, order.kind);
             self.counters.orders.inc();
             let sent = self.orders.send(&order);
--- a/crates/coordinator/src/ledger.rs
+++ b/crates/coordinator/src/ledger.rs
@@ -1,9 +1,10 @@
-//! The replicated state: the manifest in force and the failure domains that are out.
+//! The replicated state: the manifest in force, the failure domains that are
+//! out, and the groups.
 
-use fleet::Manifest;
-use model::ids::DomainId;
+use fleet::{GroupChange, GroupName, GroupRecord, Manifest};
+use model::ids::{DomainId, HostId};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A manifest as it was sent and as it was read.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -23,6 +24,8 @@
     DomainOut(DomainId),
     /// Brings a failure domain back.
     DomainBack(DomainId),
+    /// Changes the groups.
+    Group(GroupChange),
 }
 
 /// All that the log replicates.
@@ -34,6 +37,8 @@
     pub manifest: Option<Box<StoredManifest>>,
     /// Failure domains that operators have taken out.
     pub domains_out: BTreeSet<DomainId>,
+    /// The groups whose members may have been told to join.
+    pub groups: BTreeMap<GroupName, GroupRecord>,
 }
 
 impl Ledger {
@@ -54,10 +59,24 @@
             Command::DomainBack(domain) => {
                 self.domains_out.remove(&domain);
             }
+            Command::Group(GroupChange::Formed { name, record }) => {
+                let taken = record.members.iter().find(|(host, _)| self.group_of(host).is_some());
+                assert!(taken.is_none(), "a host in two groups: {taken:?}");
+                self.groups.insert(name, record);
+            }
+            Command::Group(GroupChange::Ended { name }) => {
+                self.groups.remove(&name);
+            }
         }
         false
     }
 
+    /// The group that a host belongs to.
+    pub fn group_of(&self, host: &HostId) -> Option<&GroupName> {
+        let has = |record: &GroupRecord| record.members.iter().any(|(member, _)| member == host);
+        self.groups.iter().find(|(_, record)| has(record)).map(|(name, _)| name)
+    }
+
     /// The number of the manifest in force; 0 if there is none.
     pub fn number(&self) -> u64 {
         self.manifest.as_ref().map_or(0, |stored| stored.manifest.number)
--- a/crates/fleet/src/host.rs
+++ b/crates/fleet/src/host.rs
@@ -56,6 +56,13 @@
     pub state: MemberState,
 }
 
+impl Membership {
+    /// Whether the member is a head that takes or finishes work.
+    pub fn serves(&self) -> bool {
+        self.rank == 0 && matches!(self.state, MemberState::Open | MemberState::Closing)
+    }
+}
+
 /// How far a member of a group is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MemberState {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,11 +1,13 @@
 //! What control and entries share about routed services and engine groups: the service
 //! manifest, what hosts report, the routing view, and the messages that carry them.
 
+mod group;
 mod host;
 mod manifest;
 mod messages;
 mod view;
 
+pub use group::{GroupChange, GroupRecord};
 pub use host::{HostOrder, HostReport, MemberState, Membership, OrderKind};
 pub use manifest::{
     CallerLimits, ColdLimit, Engine, EngineModel, Manifest, ManifestFault, Route, RouteKind,
--- a/crates/groups/src/limits.rs
+++ b/crates/groups/src/limits.rs
@@ -13,6 +13,9 @@
     pub replica_silence: Duration,
     /// Time after which a head whose member left has certainly stopped serving.
     pub stall: Duration,
+    /// How long a new leader waits for the reports of all hosts: one interval, and the time
+    /// that a host loses on a leader that has no power.
+    pub learn: Duration,
     /// How long a host that is gone is remembered, so that late reports don't revive it.
     pub forget: Duration,
     /// Wait before an order without a clear answer is sent again.
@@ -31,6 +34,7 @@
             member_silence: report_every * 5 / 2,
             replica_silence: report_every * 4,
             stall: stall + Duration::from_millis(300),
+            learn: report_every + Duration::from_millis(1200),
             forget: Duration::from_secs(120),
             resend: Duration::from_millis(400),
             probe_pause: Duration::from_millis(1500),
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -4,9 +4,11 @@
     Limits, Registry,
     loads::LoadGate,
     placement::{Candidate, FreeHost, best_candidate},
-    registry::HostSeen,
 };
-use fleet::{Engine, Epoch, GroupName, HostOrder, MemberState, Membership, OrderKind};
+use fleet::{
+    Engine, Epoch, GroupChange, GroupName, GroupRecord, HostOrder, MemberState, Membership,
+    OrderKind,
+};
 use model::ids::{DomainId, FabricId, HostId, ModelId, ServiceId};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -40,6 +42,10 @@
 /// How far a group is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
+    /// Its record is on its way into the log.
+    Proposed,
+    /// An earlier leader formed it; its members have not all reported yet.
+    Resumed,
     /// Its members join.
     Forming,
     /// Its head was told to serve.
@@ -78,8 +84,6 @@
     /// Whether the head has certainly closed.
     closed: bool,
     probed: Option<Instant>,
-    /// Whether the first of `members` is not the head, which is unknown.
-    headless: bool,
 }
 
 /// How an order ended.
@@ -108,6 +112,15 @@
     pub result: OrderResult,
 }
 
+/// What a pass of the planner asks for.
+#[derive(Debug, Default)]
+pub struct Step {
+    /// To be committed, in this order.
+    pub changes: Vec<GroupChange>,
+    /// To be sent.
+    pub orders: Vec<HostOrder>,
+}
+
 /// Decides about groups for one leader's term.
 #[derive(Debug)]
 pub struct Planner {
@@ -115,7 +128,7 @@
     formed: u64,
     limits: Limits,
     groups: BTreeMap<GroupName, Group>,
-    ended: BTreeSet<GroupName>,
+    ended: Vec<GroupName>,
     pending: BTreeSet<HostId>,
     /// No order goes to a host before this time.
     backoff: BTreeMap<HostId, Instant>,
@@ -138,18 +151,23 @@
     Dead,
 }
 
-/// A member that reports a group: its rank, its host and its state.
-type Part<'a> = (usize, &'a HostSeen, MemberState);
-
 impl Planner {
-    /// A planner for a leader's term.
-    pub fn new(term: u64, limits: Limits) -> Planner {
+    /// A planner for a leader's term, with the groups in the log.
+    pub fn resume(
+        term: u64,
+        limits: Limits,
+        records: &BTreeMap<GroupName, GroupRecord>,
+        now: Instant,
+    ) -> Planner {
+        let deadline = now + limits.learn;
+        let resumed = |record: &GroupRecord| resumed_group(record, deadline, now);
+        let groups = records.iter().map(|(name, record)| (name.clone(), resumed(record))).collect();
         Planner {
             term,
             formed: 0,
             limits,
-            groups: BTreeMap::new(),
-            ended: BTreeSet::new(),
+            groups,
+            ended: Vec::new(),
             pending: BTreeSet::new(),
             backoff: BTreeMap::new(),
             staging: BTreeMap::new(),
@@ -178,10 +196,19 @@
         self.engine_service = service;
     }
 
-    /// The orders that are due.
-    pub fn step(&mut self, input: &PlannerInput<'_>) -> Vec<HostOrder> {
+    /// Notes that the record of a group is committed.
+    pub fn committed(&mut self, name: &GroupName) {
+        if let Some(group) = self.groups.get_mut(name)
+            && group.phase == Phase::Proposed
+        {
+            group.phase = Phase::Forming;
+        }
+    }
+
+    /// The changes and orders that are due.
+    pub fn step(&mut self, input: &PlannerInput<'_>) -> Step {
         let mut orders = Vec::new();
-        self.adopt(input);
+        self.close_strays(input, &mut orders);
         let names: Vec<GroupName> = self.groups.keys().cloned().collect();
         for name in names {
             self.tend(&name, input, &mut orders);
@@ -192,9 +219,11 @@
             !staged && *until > input.now
         });
         let mut free = self.free_hosts(input);
-        self.form(input, &mut free, &mut orders);
+        let formed = self.form(input, &mut free);
         self.stage(input, &free, &mut orders);
-        orders
+        let ended = std::mem::take(&mut self.ended).into_iter();
+        let changes = ended.map(|name| GroupChange::Ended { name }).chain(formed).collect();
+        Step { changes, orders }
     }
 
     /// Notes the end of an order.
@@ -236,7 +265,7 @@
                 let left = accepted || gone;
                 let head = self
                     .group_mut(group, *epoch)
-                    .is_some_and(|current| !current.headless && current.members[0] == *host);
+                    .is_some_and(|current| current.members[0] == *host);
                 if left && head {
                     self.end(group);
                 }
@@ -279,8 +308,9 @@
     }
 
     fn end(&mut self, name: &GroupName) {
-        self.groups.remove(name);
-        self.ended.insert(name.clone());
+        if self.groups.remove(name).is_some() {
+            self.ended.push(name.clone());
+        }
     }
 
     /// Orders a host, unless another order to it is under way or was not answered lately.
@@ -316,7 +346,7 @@
         input: &PlannerInput<'_>,
     ) -> Member {
         let Some(seen) = input.registry.hosts().get(&group.members[rank]) else {
-            return Member::Dead;
+            return Member::Silent;
         };
         if seen.gone || seen.report.born != group.lives[rank] {
             return Member::Dead;
@@ -339,6 +369,8 @@
         let members: Vec<Member> =
             (0..group.members.len()).map(|rank| self.member(name, &group, rank, input)).collect();
         match group.phase {
+            Phase::Proposed => {}
+            Phase::Resumed => self.tend_resumed(name, &group, &members, input),
             Phase::Forming => self.tend_forming(name, &group, &members, input, orders),
             Phase::Opening => self.tend_opening(name, &group, &members, input),
             Phase::Serving => self.tend_serving(name, &group, &members, input, orders),
@@ -349,13 +381,36 @@
                 self.leave_all(name, &group, &members, input, orders);
                 if until <= input.now {
                     self.end(name);
-                } else if !group.headless && members[0] != Member::Silent {
+                } else if members[0] != Member::Silent {
                     self.set_phase(name, Phase::Closing { cut: true });
                 }
             }
         }
     }
 
+    /// Goes on with a group of an earlier leader as far as its members' reports say.
+    fn tend_resumed(
+        &mut self,
+        name: &GroupName,
+        group: &Group,
+        members: &[Member],
+        input: &PlannerInput<'_>,
+    ) {
+        let all_in = members.iter().all(|member| matches!(member, Member::In(_)));
+        let phase = match members[0] {
+            Member::In(MemberState::Open) if all_in => Phase::Serving,
+            Member::In(MemberState::Ready | MemberState::Joining) if all_in => Phase::Forming,
+            _ if input.now < group.deadline => return,
+            // Only control has lost touch with it.
+            _ if input.alive.contains(name) => Phase::Serving,
+            _ => Phase::Closing { cut: true },
+        };
+        self.set_phase(name, phase);
+        if let Some(current) = self.groups.get_mut(name) {
+            current.deadline = input.now + input.engine.form + self.limits.form_slack;
+        }
+    }
+
     fn tend_forming(
         &mut self,
         name: &GroupName,
@@ -515,26 +570,19 @@
         group.members.iter().any(|host| hosts.get(host).is_some_and(|seen| seen.report.leaving))
     }
 
-    /// Takes over groups that an earlier leader formed, or that it left half formed.
-    fn adopt(&mut self, input: &PlannerInput<'_>) {
-        let mut parts: BTreeMap<(GroupName, Epoch), Vec<Part<'_>>> = BTreeMap::new();
-        for seen in input.registry.hosts().values() {
-            let Some(Membership { group, epoch, rank, state }) = &seen.report.membership else {
+    /// Closes heads that serve for a group which has ended: they were out of touch then.
+    fn close_strays(&mut self, input: &PlannerInput<'_>, orders: &mut Vec<HostOrder>) {
+        for (host, seen) in input.registry.hosts() {
+            let Some(part) = &seen.report.membership else {
                 continue;
             };
             let present = seen.is_present(self.limits.member_silence, input.now);
-            let known = self.groups.contains_key(group);
-            let head_serves =
-                *rank == 0 && matches!(state, MemberState::Open | MemberState::Closing);
-            if present && !known && (head_serves || !self.ended.contains(group)) {
-                parts.entry((group.clone(), *epoch)).or_default().push((*rank, seen, *state));
+            if present && part.serves() && !self.groups.contains_key(&part.group) {
+                let kind =
+                    OrderKind::Close { group: part.group.clone(), epoch: part.epoch, cut: true };
+                self.order(host, kind, input, orders);
             }
         }
-        for ((name, epoch), mut members) in parts {
-            members.sort_by_key(|(rank, ..)| *rank);
-            let group = adopted_group(epoch, &members, input, &self.limits);
-            self.groups.insert(name, group);
-        }
     }
 
     fn free_hosts(&self, input: &PlannerInput<'_>) -> BTreeMap<FabricId, Vec<FreeHost>> {
@@ -543,7 +591,9 @@
         let mut free: BTreeMap<FabricId, Vec<FreeHost>> = BTreeMap::new();
         for (host, seen) in input.registry.hosts() {
             let report = &seen.report;
+            let serves = report.membership.as_ref().is_some_and(Membership::serves);
             let usable = report.service == *input.service
+                && !serves
                 && seen.is_present(self.limits.member_silence, input.now)
                 && !report.leaving
                 && !input.domains_out.contains(&report.domain)
@@ -566,8 +616,8 @@
         &mut self,
         input: &PlannerInput<'_>,
         free: &mut BTreeMap<FabricId, Vec<FreeHost>>,
-        orders: &mut Vec<HostOrder>,
-    ) {
+    ) -> Vec<GroupChange> {
+        let mut formed = Vec::new();
         loop {
             let mut counts: BTreeMap<ModelId, usize> = BTreeMap::new();
             for group in self.groups.values() {
@@ -575,21 +625,16 @@
             }
             let room = self.load_room(input);
             let Some(candidate) = best_candidate(input.engine, free, &counts, room) else {
-                return;
+                return formed;
             };
             if let Some(hosts) = free.get_mut(&candidate.fabric) {
                 hosts.retain(|host| !candidate.hosts.contains(&host.host));
             }
-            self.start_group(candidate, input, orders);
+            formed.push(self.start_group(candidate, input));
         }
     }
 
-    fn start_group(
-        &mut self,
-        candidate: Candidate,
-        input: &PlannerInput<'_>,
-        orders: &mut Vec<HostOrder>,
-    ) {
+    fn start_group(&mut self, candidate: Candidate, input: &PlannerInput<'_>) -> GroupChange {
         self.formed += 1;
         let epoch = (self.term << EPOCH_BITS) + self.formed;
         let name: GroupName = format!("g{epoch}").into();
@@ -604,19 +649,21 @@
             lives: candidate.hosts.iter().map(born).collect(),
             members: candidate.hosts,
             acked: BTreeSet::new(),
-            phase: Phase::Forming,
+            phase: Phase::Proposed,
             deadline: input.now + candidate.time + input.engine.form + self.limits.form_slack,
-            headless: false,
             open_asked: None,
             open_unsure: false,
             close_begun: None,
             closed: false,
             probed: None,
         };
-        for host in &group.members {
-            self.order(host, join_order(&name, &group), input, orders);
-        }
-        self.groups.insert(name, group);
+        let record = GroupRecord {
+            epoch,
+            model: group.model.clone(),
+            members: group.members.iter().cloned().zip(group.lives.iter().copied()).collect(),
+        };
+        self.groups.insert(name.clone(), group);
+        GroupChange::Formed { name, record }
     }
 
     /// Puts weights on spare hosts, so that they can replace a member soon.
@@ -676,37 +723,18 @@
     }
 }
 
-/// A group that was found in reports: it goes on if it is whole, and is closed otherwise.
-fn adopted_group(
-    epoch: Epoch,
-    members: &[Part<'_>],
-    input: &PlannerInput<'_>,
-    limits: &Limits,
-) -> Group {
-    let model = members[0].1.report.loaded.clone().unwrap_or_default();
-    let size = input.engine.model(&model).map_or(0, |model| model.size);
-    let whole = members.len() == size
-        && members.iter().enumerate().all(|(at, (rank, ..))| at == *rank)
-        && members.iter().all(|(_, seen, _)| seen.report.loaded.as_ref() == Some(&model));
-    let ready = members.iter().all(|(_, _, state)| *state != MemberState::Joining);
-    let phase = match members[0] {
-        (0, _, MemberState::Open) if whole && ready => Phase::Serving,
-        (0, _, MemberState::Ready) if whole && ready => Phase::Forming,
-        (0, ..) => Phase::Closing { cut: true },
-        // The head is unknown: it may serve behind a cut until it breaks.
-        _ => Phase::Breaking { until: input.now + limits.stall },
-    };
+/// A group of an earlier leader, of which only the record is known.
+fn resumed_group(record: &GroupRecord, deadline: Instant, now: Instant) -> Group {
     Group {
-        epoch,
-        model,
-        members: members.iter().map(|(_, seen, _)| seen.report.host.clone()).collect(),
-        lives: members.iter().map(|(_, seen, _)| seen.report.born).collect(),
-        acked: members.iter().map(|(_, seen, _)| seen.report.host.clone()).collect(),
-        phase,
-        deadline: input.now + input.engine.form + limits.form_slack,
-        headless: members[0].0 != 0,
+        epoch: record.epoch,
+        model: record.model.clone(),
+        members: record.members.iter().map(|(host, _)| host.clone()).collect(),
+        lives: record.members.iter().map(|(_, born)| *born).collect(),
+        acked: BTreeSet::new(),
+        phase: Phase::Resumed,
+        deadline,
         // An order of the earlier leader to open it may be on its way.
-        open_asked: Some(input.now),
+        open_asked: Some(now),
         open_unsure: true,
         close_begun: None,
         closed: false,
--- a/crates/groups/src/registry.rs
+++ b/crates/groups/src/registry.rs
@@ -95,11 +95,6 @@
         }
     }
 
-    /// Whether some host belongs to a group.
-    pub fn any_member(&self) -> bool {
-        self.hosts.values().any(|seen| seen.report.membership.is_some())
-    }
-
     /// Forgets hosts that have been silent for long.
     pub fn forget(&mut self, limits: &Limits, now: Instant) {
         let keep = |heard: Instant| now.saturating_duration_since(heard) <= limits.forget;
