--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -255,7 +255,10 @@
                     let opening = current.open_asked.is_some_and(|at| now < at + form_slack);
                     match outcome.result {
                         OrderResult::Done => current.closed = true,
-                        OrderResult::Begun => current.close_begun = Some(now),
+                        OrderResult::Begun => {
+                            current.close_begun.get_or_insert(now);
+                            self.backoff.insert(host.clone(), resend);
+                        }
                         OrderResult::Conflict => current.closed = !opening,
                         _ => {}
                     }
--- a/crates/groups/src/registry.rs
+++ b/crates/groups/src/registry.rs
@@ -18,8 +18,10 @@
     pub heard: Instant,
     /// When its cold start ends.
     pub cold_until: Instant,
-    /// Whether it said that it ends, or another one has its address.
+    /// Whether another one has its address.
     pub gone: bool,
+    /// Whether it said that it ends. It may go on serving for some seconds, unheard.
+    pub left: bool,
     /// Whether it left a probe unanswered since its latest report.
     pub suspect: bool,
 }
@@ -59,7 +61,7 @@
     pub fn take(&mut self, report: HostReport, now: Instant) -> bool {
         if let Some(seen) = self.hosts.get(&report.host) {
             let same_life = seen.report.born == report.born;
-            if !report.supersedes(&seen.report) || (seen.gone && same_life) {
+            if !report.supersedes(&seen.report) || ((seen.gone || seen.left) && same_life) {
                 return false;
             }
         }
@@ -70,6 +72,7 @@
             heard: now,
             cold_until: now + report.cold,
             gone: false,
+            left: false,
             suspect: false,
             report,
         };
@@ -81,7 +84,8 @@
     pub fn remove(&mut self, host: &str) -> bool {
         match self.hosts.get_mut(host) {
             Some(seen) => {
-                seen.gone = true;
+                seen.left = true;
+                seen.report.leaving = true;
                 true
             }
             None => false,
