Stage weights instead of joins that load; see a closed head at once

Cause: a join that loads held its hosts, survivors among them, for 12 to 16 s; a close whose report came before its answer was waited for 0.5 s more.

--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -27,10 +27,10 @@
 }
 
 /// How lately a head must have produced something to count as working.
-const ALIVE_WITHIN: Duration = Duration::from_millis(400);
+const ALIVE_WITHIN: Duration = Duration::from_millis(300);
 /// How long a head with work must have produced nothing to count as stalled: several
 /// passes of a full engine.
-const STALLED_AFTER: Duration = Duration::from_millis(500);
+const STALLED_AFTER: Duration = Duration::from_millis(400);
 /// Part of the allowed repeats that entries use, as each knows only its own requests.
 const REPEAT_SHARE: f64 = 0.7;
 
--- a/crates/groups/src/placement.rs
+++ b/crates/groups/src/placement.rs
@@ -27,6 +27,11 @@
         }
     }
 
+    /// Whether the host has no weights at all.
+    pub(crate) fn is_blank(&self) -> bool {
+        self.staged.is_empty() && self.last_model.is_none()
+    }
+
     /// Whether a join would load weights from the store.
     pub(crate) fn needs_load(&self, model: &EngineModel) -> bool {
         self.last_model.as_ref() != Some(&model.name) && !self.staged.contains(&model.name)
@@ -40,7 +45,6 @@
     pub(crate) fabric: FabricId,
     pub(crate) hosts: Vec<HostId>,
     pub(crate) time: Duration,
-    pub(crate) loads: usize,
 }
 
 /// The best next group, if one fits in a fabric domain with at most `loads` loads.
@@ -55,9 +59,7 @@
 ) -> Option<Candidate> {
     let mut best: Option<(f64, Candidate)> = None;
     for model in &engine.models {
-        let count = groups.get(&model.name).copied().unwrap_or(0) as f64;
-        // The work of a model's share, in times of a group, over the groups that it has.
-        let need = model.share * model.pace / (count + 0.5);
+        let need = model_need(model, groups);
         for (fabric, hosts) in free {
             let Some(candidate) = candidate_in(model, fabric, hosts, loads) else {
                 continue;
@@ -71,6 +73,12 @@
     best.map(|(_, candidate)| candidate)
 }
 
+/// The work of a model's share, in times of a group, over the groups that it has.
+pub(crate) fn model_need(model: &EngineModel, groups: &BTreeMap<ModelId, usize>) -> f64 {
+    let count = groups.get(&model.name).copied().unwrap_or(0) as f64;
+    model.share * model.pace / (count + 0.5)
+}
+
 /// A group that serves this much later is worth half.
 const PATIENCE: Duration = Duration::from_secs(4);
 
@@ -93,6 +101,5 @@
         fabric: fabric.clone(),
         hosts: chosen.iter().map(|host| host.host.clone()).collect(),
         time,
-        loads: needed,
     })
 }
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -3,11 +3,11 @@
 use crate::{
     Limits, Registry,
     loads::LoadGate,
-    placement::{Candidate, FreeHost, best_candidate},
+    placement::{Candidate, FreeHost, best_candidate, model_need},
 };
 use fleet::{
-    Engine, Epoch, GroupChange, GroupName, GroupRecord, HostOrder, MemberState, Membership,
-    OrderKind,
+    Engine, EngineModel, Epoch, GroupChange, GroupName, GroupRecord, HostOrder, MemberState,
+    Membership, OrderKind,
 };
 use model::ids::{DomainId, FabricId, HostId, ModelId, ServiceId};
 use std::{
@@ -79,8 +79,8 @@
     open_asked: Option<Instant>,
     /// Whether an order to open may still be carried out later.
     open_unsure: bool,
-    /// When the head began to close.
-    close_begun: Option<Instant>,
+    /// When the head was last told to close while it served.
+    close_sent: Option<Instant>,
     /// Whether the head has certainly closed.
     closed: bool,
     probed: Option<Instant>,
@@ -256,7 +256,6 @@
                     match outcome.result {
                         OrderResult::Done => current.closed = true,
                         OrderResult::Begun => {
-                            current.close_begun.get_or_insert(now);
                             self.backoff.insert(host.clone(), resend);
                         }
                         OrderResult::Conflict => current.closed = !opening,
@@ -504,12 +503,15 @@
             Member::In(state) => {
                 let heard = input.registry.hosts().get(head).map(|seen| seen.heard);
                 let seen_closed = state == MemberState::Ready
-                    && group.close_begun.is_some_and(|at| heard.is_some_and(|heard| heard > at));
+                    && group.close_sent.is_some_and(|at| heard.is_some_and(|heard| heard > at));
                 if !(group.closed || seen_closed) {
                     let lost = members.iter().any(|member| !matches!(member, Member::In(_)));
                     let cut = cut || lost;
                     let kind = OrderKind::Close { group: name.clone(), epoch: group.epoch, cut };
-                    self.order(head, kind, input, orders);
+                    let sent = self.order(head, kind, input, orders);
+                    if sent && matches!(state, MemberState::Open | MemberState::Closing) {
+                        self.note_close(name, input.now);
+                    }
                 } else if group.open_unsure {
                     // An order to open that comes late finds no such group then.
                     let kind = OrderKind::Leave { group: name.clone(), epoch: group.epoch };
@@ -543,6 +545,12 @@
         }
     }
 
+    fn note_close(&mut self, name: &GroupName, now: Instant) {
+        if let Some(group) = self.groups.get_mut(name) {
+            group.close_sent.get_or_insert(now);
+        }
+    }
+
     /// Asks all members whether they live, since their head has stood still.
     fn probe_members(
         &mut self,
@@ -622,11 +630,9 @@
     ) -> Vec<GroupChange> {
         let mut formed = Vec::new();
         loop {
-            let mut counts: BTreeMap<ModelId, usize> = BTreeMap::new();
-            for group in self.groups.values() {
-                *counts.entry(group.model.clone()).or_default() += 1;
-            }
-            let room = self.load_room(input);
+            let counts = self.counts();
+            // A join that loads would hold its hosts for long; weights are staged instead.
+            let room = if input.loads_unlimited { usize::MAX } else { 0 };
             let Some(candidate) = best_candidate(input.engine, free, &counts, room) else {
                 return formed;
             };
@@ -641,9 +647,6 @@
         self.formed += 1;
         let epoch = (self.term << EPOCH_BITS) + self.formed;
         let name: GroupName = format!("g{epoch}").into();
-        for _ in 0..candidate.loads {
-            self.gate.note(candidate.time, input.now);
-        }
         let hosts = input.registry.hosts();
         let born = |host: &HostId| hosts.get(host).map_or(0, |seen| seen.report.born);
         let group = Group {
@@ -656,7 +659,7 @@
             deadline: input.now + candidate.time + input.engine.form + self.limits.form_slack,
             open_asked: None,
             open_unsure: false,
-            close_begun: None,
+            close_sent: None,
             closed: false,
             probed: None,
         };
@@ -669,7 +672,7 @@
         GroupChange::Formed { name, record }
     }
 
-    /// Puts weights on spare hosts, so that they can replace a member soon.
+    /// Puts weights on hosts that have none, so that they can complete a group soon.
     fn stage(
         &mut self,
         input: &PlannerInput<'_>,
@@ -677,39 +680,65 @@
         orders: &mut Vec<HostOrder>,
     ) {
         for (fabric, hosts) in free {
-            let Some(wanted) = self.main_model(fabric, input) else {
-                continue;
-            };
-            for spare in hosts {
-                if !spare.staged.is_empty() || spare.last_model.is_some() {
-                    continue;
-                }
-                let Some(model) = input.engine.model(&wanted) else {
-                    continue;
-                };
+            let mut ready = self.ready_hosts(fabric, hosts, input);
+            for spare in hosts.iter().filter(|host| host.is_blank()) {
                 if self.load_room(input) == 0 {
                     return;
                 }
-                let kind = OrderKind::Stage { model: wanted.clone() };
+                let Some(model) = self.model_to_stage(&ready, input) else {
+                    continue;
+                };
+                let kind = OrderKind::Stage { model: model.name.clone() };
                 if self.order(&spare.host, kind, input, orders) {
+                    *ready.entry(model.name.clone()).or_default() += 1;
                     self.gate.note(model.load, input.now);
-                    let entry = (wanted.clone(), input.now + model.load);
+                    let entry = (model.name.clone(), input.now + model.load * 2);
                     self.staging.insert(spare.host.clone(), entry);
                 }
             }
         }
     }
 
-    /// The model of most groups in a fabric domain.
-    fn main_model(&self, fabric: &FabricId, input: &PlannerInput<'_>) -> Option<ModelId> {
-        let mut counts: BTreeMap<&ModelId, usize> = BTreeMap::new();
+    /// How many free hosts of a fabric domain have, or will have, the weights of each model.
+    fn ready_hosts(
+        &self,
+        fabric: &FabricId,
+        hosts: &[FreeHost],
+        input: &PlannerInput<'_>,
+    ) -> BTreeMap<ModelId, usize> {
+        let mut ready = BTreeMap::new();
+        for model in &input.engine.models {
+            let have = hosts.iter().filter(|host| !host.needs_load(model)).count();
+            let coming = self.staging.iter().filter(|(host, (staged, _))| {
+                let seen = input.registry.hosts().get(*host);
+                *staged == model.name && seen.is_some_and(|seen| seen.report.fabric == *fabric)
+            });
+            ready.insert(model.name.clone(), have + coming.count());
+        }
+        ready
+    }
+
+    /// The model whose next group lacks the fewest hosts, weighed by how much it is needed.
+    fn model_to_stage<'a>(
+        &self,
+        ready: &BTreeMap<ModelId, usize>,
+        input: &PlannerInput<'a>,
+    ) -> Option<&'a EngineModel> {
+        let counts = self.counts();
+        let score = |model: &EngineModel| {
+            let have = ready.get(&model.name).copied().unwrap_or(0) % model.size;
+            model_need(model, &counts) / (model.size - have) as f64
+        };
+        input.engine.models.iter().max_by(|a, b| score(a).total_cmp(&score(b)))
+    }
+
+    /// The number of groups of each model.
+    fn counts(&self) -> BTreeMap<ModelId, usize> {
+        let mut counts = BTreeMap::new();
         for group in self.groups.values() {
-            let head = group.members.first().and_then(|host| input.registry.hosts().get(host));
-            if head.is_some_and(|seen| seen.report.fabric == *fabric) {
-                *counts.entry(&group.model).or_default() += 1;
-            }
+            *counts.entry(group.model.clone()).or_default() += 1;
         }
-        counts.into_iter().max_by_key(|(_, count)| *count).map(|(model, _)| model.clone())
+        counts
     }
 
     fn load_room(&mut self, input: &PlannerInput<'_>) -> usize {
@@ -739,7 +768,7 @@
         // An order of the earlier leader to open it may be on its way.
         open_asked: Some(now),
         open_unsure: true,
-        close_begun: None,
+        close_sent: None,
         closed: false,
         probed: None,
     }
