--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader.rs
@@ -10,12 +10,12 @@
     ControlMessage, EntryMessage, EntryStatus, GroupName, HostReport, Manifest, OrderKind,
     RoutingView,
 };
-use groups::{OrderOutcome, OrderResult, Planner, PlannerInput, Registry, routing_view};
+use groups::{OrderOutcome, OrderResult, Phase, Planner, PlannerInput, Registry, routing_view};
 use log::info;
 use model::ids::{HostId, ServiceId};
 use serde_json::json;
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -39,6 +39,8 @@
     pub(crate) since: Instant,
     registry: Registry,
     planner: Planner,
+    /// The phases of groups that were logged last.
+    phases: BTreeMap<GroupName, Phase>,
     entries: BTreeMap<SessionId, (EntryStatus, Instant)>,
     manifest: Option<Arc<Manifest>>,
     engine_service: Option<ServiceId>,
@@ -95,6 +97,7 @@
                 now,
             ),
             resumes: !self.ledger.groups.is_empty(),
+            phases: BTreeMap::new(),
             entries: BTreeMap::new(),
             manifest: None,
             engine_service: None,
@@ -361,9 +364,8 @@
             loads_unlimited: !leading.traffic,
             now,
         };
-        let before = leading.planner.phases().map(|(n, _, p)| (n.clone(), p)).collect();
         let step = leading.planner.step(&input);
-        log_phases(&before, &leading.planner);
+        log_phases(&mut leading.phases, &leading.planner);
         for change in step.changes {
             self.propose(&Command::Group(change), None);
         }
@@ -428,18 +430,19 @@
     }
 }
 
-/// Logs which groups changed their phase.
-fn log_phases(before: &BTreeMap<Box<str>, groups::Phase>, planner: &Planner) {
-    let mut named = BTreeSet::new();
+/// Logs which groups changed their phase since `logged`.
+fn log_phases(logged: &mut BTreeMap<GroupName, Phase>, planner: &Planner) {
+    let mut current = BTreeMap::new();
     for (name, model, phase) in planner.phases() {
-        named.insert(name);
-        if before.get(name) != Some(&phase) {
+        if logged.get(name) != Some(&phase) {
             info!("event=group group={name} model={model} phase=\"{phase:?}\"");
         }
+        current.insert(name.clone(), phase);
     }
-    for name in before.keys().filter(|name| !named.contains(name)) {
+    for name in logged.keys().filter(|name| !current.contains_key(*name)) {
         info!("event=group group={name} phase=Ended");
     }
+    *logged = current;
 }
 
 /// Sends a message to an entry. One that does not read must start a new conversation.
--- a/crates/groups/src/limits.rs
+++ b/crates/groups/src/limits.rs
@@ -22,6 +22,8 @@
     pub resend: Duration,
     /// Shortest time between two rounds of probes to the members of one group.
     pub probe_pause: Duration,
+    /// How long hosts must have been idle before their weights are replaced.
+    pub stage_over_after: Duration,
     /// Time allowed for a join or an opening beyond the expected one.
     pub form_slack: Duration,
 }
@@ -38,6 +40,7 @@
             forget: Duration::from_secs(120),
             resend: Duration::from_millis(400),
             probe_pause: Duration::from_millis(1500),
+            stage_over_after: Duration::from_secs(4),
             form_slack: Duration::from_secs(4),
         }
     }
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -18,6 +18,9 @@
 /// Bits of an epoch below the leader's term.
 const EPOCH_BITS: u32 = 20;
 
+/// Most hosts whose weights are replaced for one group.
+const STAGE_OVER_MAX: usize = 2;
+
 /// What the planner looks at.
 #[derive(Debug, Clone, Copy)]
 pub struct PlannerInput<'a> {
@@ -81,6 +84,8 @@
     open_unsure: bool,
     /// When the head was last told to close while it served.
     close_sent: Option<Instant>,
+    /// No further order to close is sent before this time.
+    close_again: Option<Instant>,
     /// Whether the head has certainly closed.
     closed: bool,
     probed: Option<Instant>,
@@ -134,6 +139,8 @@
     backoff: BTreeMap<HostId, Instant>,
     /// What is being staged, and until when that takes at most.
     staging: BTreeMap<HostId, (ModelId, Instant)>,
+    /// Since when hosts belong to no group and nothing is staged on them.
+    idle_since: BTreeMap<HostId, Instant>,
     gate: LoadGate,
     engine_service: Option<ServiceId>,
 }
@@ -171,6 +178,7 @@
             pending: BTreeSet::new(),
             backoff: BTreeMap::new(),
             staging: BTreeMap::new(),
+            idle_since: BTreeMap::new(),
             gate: LoadGate::default(),
             engine_service: None,
         }
@@ -220,6 +228,7 @@
         });
         let mut free = self.free_hosts(input);
         let formed = self.form(input, &mut free);
+        self.note_idle(&free, input.now);
         self.stage(input, &free, &mut orders);
         let ended = std::mem::take(&mut self.ended).into_iter();
         let changes = ended.map(|name| GroupChange::Ended { name }).chain(formed).collect();
@@ -255,9 +264,6 @@
                     let opening = current.open_asked.is_some_and(|at| now < at + form_slack);
                     match outcome.result {
                         OrderResult::Done => current.closed = true,
-                        OrderResult::Begun => {
-                            self.backoff.insert(host.clone(), resend);
-                        }
                         OrderResult::Conflict => current.closed = !opening,
                         _ => {}
                     }
@@ -508,9 +514,10 @@
                     let lost = members.iter().any(|member| !matches!(member, Member::In(_)));
                     let cut = cut || lost;
                     let kind = OrderKind::Close { group: name.clone(), epoch: group.epoch, cut };
-                    let sent = self.order(head, kind, input, orders);
-                    if sent && matches!(state, MemberState::Open | MemberState::Closing) {
-                        self.note_close(name, input.now);
+                    let due = group.close_again.is_none_or(|at| at <= input.now);
+                    if due && self.order(head, kind, input, orders) {
+                        let serves = matches!(state, MemberState::Open | MemberState::Closing);
+                        self.note_close(name, serves, input.now);
                     }
                 } else if group.open_unsure {
                     // An order to open that comes late finds no such group then.
@@ -545,9 +552,13 @@
         }
     }
 
-    fn note_close(&mut self, name: &GroupName, now: Instant) {
+    fn note_close(&mut self, name: &GroupName, serves: bool, now: Instant) {
+        let again = now + self.limits.resend;
         if let Some(group) = self.groups.get_mut(name) {
-            group.close_sent.get_or_insert(now);
+            group.close_again = Some(again);
+            if serves {
+                group.close_sent.get_or_insert(now);
+            }
         }
     }
 
@@ -660,6 +671,7 @@
             open_asked: None,
             open_unsure: false,
             close_sent: None,
+            close_again: None,
             closed: false,
             probed: None,
         };
@@ -682,21 +694,75 @@
         for (fabric, hosts) in free {
             let mut ready = self.ready_hosts(fabric, hosts, input);
             for spare in hosts.iter().filter(|host| host.is_blank()) {
-                if self.load_room(input) == 0 {
-                    return;
-                }
                 let Some(model) = self.model_to_stage(&ready, input) else {
                     continue;
                 };
-                let kind = OrderKind::Stage { model: model.name.clone() };
-                if self.order(&spare.host, kind, input, orders) {
+                if self.stage_host(&spare.host, model, input, orders) {
                     *ready.entry(model.name.clone()).or_default() += 1;
-                    self.gate.note(model.load, input.now);
-                    let entry = (model.name.clone(), input.now + model.load * 2);
-                    self.staging.insert(spare.host.clone(), entry);
                 }
             }
         }
+        for (fabric, hosts) in free {
+            let ready = self.ready_hosts(fabric, hosts, input);
+            self.stage_over(hosts, &ready, input, orders);
+        }
+    }
+
+    fn note_idle(&mut self, free: &BTreeMap<FabricId, Vec<FreeHost>>, now: Instant) {
+        let idle: BTreeSet<&HostId> = free.values().flatten().map(|host| &host.host).collect();
+        self.idle_since.retain(|host, _| idle.contains(host));
+        for host in idle {
+            self.idle_since.entry(host.clone()).or_insert(now);
+        }
+    }
+
+    /// Replaces the weights of hosts that have been idle for long, where that completes a
+    /// group: hosts that together fit no model serve nobody. Loads are scarce, and a host
+    /// that waits may complete a group with others soon, so that it is the last resort.
+    fn stage_over(
+        &mut self,
+        hosts: &[FreeHost],
+        ready: &BTreeMap<ModelId, usize>,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<HostOrder>,
+    ) {
+        let Some(model) = self.model_to_stage(ready, input) else {
+            return;
+        };
+        let have = ready.get(&model.name).copied().unwrap_or(0);
+        let missing = model.size.saturating_sub(have);
+        let others: Vec<&FreeHost> =
+            hosts.iter().filter(|host| host.needs_load(model) && !host.is_blank()).collect();
+        let patient = |host: &&FreeHost| {
+            let since = self.idle_since.get(&host.host);
+            since.is_some_and(|at| input.now >= *at + self.limits.stage_over_after)
+        };
+        if missing > STAGE_OVER_MAX || !others.iter().all(patient) {
+            return;
+        }
+        if missing == 0 || others.len() < missing {
+            return;
+        }
+        for host in &others[..missing] {
+            self.stage_host(&host.host, model, input, orders);
+        }
+    }
+
+    fn stage_host(
+        &mut self,
+        host: &HostId,
+        model: &EngineModel,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<HostOrder>,
+    ) -> bool {
+        let kind = OrderKind::Stage { model: model.name.clone() };
+        if self.load_room(input) == 0 || !self.order(host, kind, input, orders) {
+            return false;
+        }
+        self.gate.note(model.load, input.now);
+        let entry = (model.name.clone(), input.now + model.load * 2);
+        self.staging.insert(host.clone(), entry);
+        true
     }
 
     /// How many free hosts of a fabric domain have, or will have, the weights of each model.
@@ -769,6 +835,7 @@
         open_asked: Some(now),
         open_unsure: true,
         close_sent: None,
+        close_again: None,
         closed: false,
         probed: None,
     }
