--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -694,7 +694,7 @@
         for (fabric, hosts) in free {
             let mut ready = self.ready_hosts(fabric, hosts, input);
             for spare in hosts.iter().filter(|host| host.is_blank()) {
-                let Some(model) = self.model_to_stage(&ready, input) else {
+                let Some(model) = self.model_to_stage(fabric, &ready, input) else {
                     continue;
                 };
                 if self.stage_host(&spare.host, model, input, orders) {
@@ -704,7 +704,7 @@
         }
         for (fabric, hosts) in free {
             let ready = self.ready_hosts(fabric, hosts, input);
-            self.stage_over(hosts, &ready, input, orders);
+            self.stage_over(fabric, hosts, &ready, input, orders);
         }
     }
 
@@ -721,12 +721,13 @@
     /// that waits may complete a group with others soon, so that it is the last resort.
     fn stage_over(
         &mut self,
+        fabric: &FabricId,
         hosts: &[FreeHost],
         ready: &BTreeMap<ModelId, usize>,
         input: &PlannerInput<'_>,
         orders: &mut Vec<HostOrder>,
     ) {
-        let Some(model) = self.model_to_stage(ready, input) else {
+        let Some(model) = self.model_to_stage(fabric, ready, input) else {
             return;
         };
         let have = ready.get(&model.name).copied().unwrap_or(0);
@@ -785,19 +786,31 @@
     }
 
     /// The model whose next group lacks the fewest hosts, weighed by how much it is needed.
+    /// Models with groups in the fabric domain and without a spare host go first.
     fn model_to_stage<'a>(
         &self,
+        fabric: &FabricId,
         ready: &BTreeMap<ModelId, usize>,
         input: &PlannerInput<'a>,
     ) -> Option<&'a EngineModel> {
         let counts = self.counts();
         let score = |model: &EngineModel| {
-            let have = ready.get(&model.name).copied().unwrap_or(0) % model.size;
-            model_need(model, &counts) / (model.size - have) as f64
+            let have = ready.get(&model.name).copied().unwrap_or(0);
+            let missing = model.size - have % model.size;
+            let unspared = if have == 0 { self.groups_in(fabric, model, input) } else { 0 };
+            unspared as f64 + model_need(model, &counts) / missing as f64
         };
         input.engine.models.iter().max_by(|a, b| score(a).total_cmp(&score(b)))
     }
 
+    fn groups_in(&self, fabric: &FabricId, model: &EngineModel, input: &PlannerInput<'_>) -> usize {
+        let here = |group: &&Group| {
+            let head = input.registry.hosts().get(&group.members[0]);
+            group.model == model.name && head.is_some_and(|seen| seen.report.fabric == *fabric)
+        };
+        self.groups.values().filter(here).count()
+    }
+
     /// The number of groups of each model.
     fn counts(&self) -> BTreeMap<ModelId, usize> {
         let mut counts = BTreeMap::new();
