--- a/crates/admission/src/floor.rs
+++ b/crates/admission/src/floor.rs
@@ -16,7 +16,9 @@
 /// Requests of a plain service that wait at one of its replicas, per running one.
 const PLAIN_QUEUE: usize = 1;
 /// Shortest time after which a refused caller should come back.
-const RETRY_MIN: Duration = Duration::from_millis(100);
+const RETRY_MIN: Duration = Duration::from_millis(800);
+/// Most that is added to it, so that those who were refused together come back apart.
+const RETRY_SPREAD: Duration = Duration::from_millis(800);
 
 /// What a request needs.
 #[derive(Debug, Clone)]
@@ -84,6 +86,7 @@
     entries: usize,
     domain: DomainId,
     next: u64,
+    refused: u32,
 }
 
 impl Floor {
@@ -164,7 +167,7 @@
             }
         }
         let Some((_, host)) = best else {
-            return Err(if offered { Refused::Full(RETRY_MIN) } else { Refused::Nobody });
+            return Err(if offered { Refused::Full(self.retry_after()) } else { Refused::Nobody });
         };
         self.next += 1;
         let number = self.next;
@@ -177,6 +180,14 @@
         Ok(Choice { replica: place.replica.clone(), ticket: Ticket { host, number } })
     }
 
+    /// When the next refused caller should come back: spread evenly over the span.
+    fn retry_after(&mut self) -> Duration {
+        self.refused = self.refused.wrapping_add(1);
+        // Multiples of the golden ratio fill the span evenly, whatever their number.
+        let part = (f64::from(self.refused) * 0.618_033_988_75).fract();
+        RETRY_MIN + RETRY_SPREAD.mul_f64(part)
+    }
+
     /// Notes an event of a stream, or an answer.
     pub fn progress(&mut self, ticket: &Ticket, now: Instant) {
         if let Some(place) = self.places.get_mut(&ticket.host) {
