Form groups by the work that callers ask for

Cause: the manifest's shares gave 8 groups to one model and 4 to the other, while the work asked for fills about as many groups of each; the smaller kind was refused.

--- a/crates/admission/src/floor.rs
+++ b/crates/admission/src/floor.rs
@@ -1,6 +1,6 @@
 //! The backend servers that an entry may use, and the work that it has given them.
 
-use crate::cold::ColdGate;
+use crate::{cold::ColdGate, demand::Demand};
 use fleet::{Engine, GroupName, Manifest, Replica, RoutingView};
 use model::ids::{DomainId, HostId, ModelId, ServiceId};
 use std::{
@@ -29,7 +29,7 @@
     pub model: Option<ModelId>,
     /// Tokens of the prompt.
     pub prompt_tokens: u64,
-    /// Most tokens of the answer.
+    /// Tokens of the answer that are expected.
     pub answer_tokens: u64,
     /// Backend servers that have failed this request.
     pub avoid: Vec<HostId>,
@@ -87,6 +87,7 @@
     domain: DomainId,
     next: u64,
     refused: u32,
+    demand: Demand,
 }
 
 impl Floor {
@@ -139,6 +140,7 @@
         let Some(service) = manifest.service(&wish.service) else {
             return Err(Refused::Nobody);
         };
+        self.note_demand(wish, service.engine.as_ref(), now);
         let cold_share = service.cold.per_s / self.entries as f64;
         let mut offered = false;
         let mut best: Option<(f64, HostId)> = None;
@@ -180,6 +182,24 @@
         Ok(Choice { replica: place.replica.clone(), ticket: Ticket { host, number } })
     }
 
+    /// Counts the work of a request, unless it was counted at an earlier try.
+    fn note_demand(&mut self, wish: &Wish, engine: Option<&Engine>, now: Instant) {
+        let (Some(engine), Some(name)) = (engine, &wish.model) else {
+            return;
+        };
+        if let Some(model) = engine.model(name)
+            && wish.avoid.is_empty()
+        {
+            let work = engine.group_seconds(model, wish.prompt_tokens, wish.answer_tokens);
+            self.demand.add(name, work, now);
+        }
+    }
+
+    /// The work that callers asked for lately, by model, in groups that it would fill.
+    pub fn demand(&mut self, now: Instant) -> Vec<(ModelId, f64)> {
+        self.demand.rates(now)
+    }
+
     /// When the next refused caller should come back: spread evenly over the span.
     fn retry_after(&mut self) -> Duration {
         self.refused = self.refused.wrapping_add(1);
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod budget;
 mod cold;
+mod demand;
 mod floor;
 mod table;
 
--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader.rs
@@ -30,6 +30,8 @@
 const ENTRY_SILENCE: Duration = Duration::from_millis(1500);
 /// Report intervals for which the first leader waits, so that every host has reported.
 const LEARN_INTERVALS: f64 = 2.3;
+/// Work asked for, in groups that it would fill, below which the measure says too little.
+const DEMAND_MIN: f64 = 1.0;
 /// Shortest time between two views that differ only in remaining cold times.
 const COLD_STEP: Duration = Duration::from_millis(1000);
 
@@ -352,6 +354,13 @@
             return;
         };
         let statuses = leading.entries.values();
+        let mut demand = BTreeMap::new();
+        for (model, work) in statuses.clone().flat_map(|(status, _)| &status.demand) {
+            *demand.entry(model.clone()).or_insert(0.0) += work;
+        }
+        if demand.values().sum::<f64>() < DEMAND_MIN {
+            demand.clear();
+        }
         let alive = statuses.clone().flat_map(|(status, _)| status.alive.iter().cloned()).collect();
         let stalled = statuses.flat_map(|(status, _)| status.stalled.iter().cloned()).collect();
         let input = PlannerInput {
@@ -359,6 +368,7 @@
             service: name,
             engine,
             domains_out: &self.ledger.domains_out,
+            demand: &demand,
             alive: &alive,
             stalled: &stalled,
             loads_unlimited: !leading.traffic,
--- a/crates/fleet/src/manifest.rs
+++ b/crates/fleet/src/manifest.rs
@@ -260,6 +260,19 @@
 }
 
 impl Engine {
+    /// The time of a full group of the model that a request takes up, in seconds: its prompt
+    /// is read alone, and its answer is written beside those of the other places.
+    pub fn group_seconds(&self, model: &EngineModel, prompt: u64, answer: u64) -> f64 {
+        let (prompt, answer) = (prompt as f64, answer as f64);
+        let pairs_m = prompt * prompt / 2e6;
+        let read_ms = prompt * 1000.0 / self.read_per_s + pairs_m * self.pairs_ms;
+        let slots = f64::from(self.slots);
+        let context_k = (prompt + answer / 2.0) / 1000.0;
+        let per_request = self.step_request_ms + self.step_context_ms * context_k;
+        let write_ms = answer * (self.step_ms / slots + per_request);
+        model.pace * (read_ms + write_ms) / 1000.0
+    }
+
     /// A model by its name.
     pub fn model(&self, name: &str) -> Option<&EngineModel> {
         self.models.iter().find(|model| &*model.name == name)
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -1,7 +1,7 @@
 //! Messages between control processes, and between entries and control.
 
 use crate::{GroupName, Manifest, RoutingView};
-use model::ids::{ControlId, EntryId};
+use model::ids::{ControlId, EntryId, ModelId};
 use replog::Envelope;
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, sync::Arc};
@@ -38,7 +38,7 @@
 }
 
 /// How an entry is.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EntryStatus {
     /// Its name.
     pub entry: EntryId,
@@ -48,6 +48,8 @@
     pub accepts: bool,
     /// Requests that it has passed on since it started.
     pub served: u64,
+    /// The work that callers asked for lately, by model, in groups that it would fill.
+    pub demand: Vec<(ModelId, f64)>,
     /// Groups whose head produced something lately.
     pub alive: Vec<GroupName>,
     /// Groups whose head has stood still with work to do.
@@ -55,7 +57,7 @@
 }
 
 /// A message from an entry to control.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum EntryMessage {
     /// Reports how the entry is, at short intervals.
     Status(EntryStatus),
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -19,7 +19,7 @@
     pub model: Option<ModelId>,
     /// Tokens of the prompt.
     pub prompt_tokens: u64,
-    /// Most tokens of the answer.
+    /// Tokens of the answer that are expected.
     pub answer_tokens: u64,
     /// The last event of an earlier answer that the caller has.
     pub after_event: Option<u64>,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -133,8 +133,9 @@
 
     pub(crate) fn status(&self) -> EntryStatus {
         let now = self.clock.now();
-        let floor = lock(&self.floor);
+        let mut floor = lock(&self.floor);
         EntryStatus {
+            demand: floor.demand(now),
             entry: self.name.clone(),
             address: self.address,
             accepts: self.is_ready(),
--- a/crates/groups/src/placement.rs
+++ b/crates/groups/src/placement.rs
@@ -1,6 +1,7 @@
 //! Chooses hosts for the next group.
 
-use fleet::{Engine, EngineModel};
+use crate::PlannerInput;
+use fleet::EngineModel;
 use model::ids::{FabricId, HostId, ModelId};
 use std::{collections::BTreeMap, time::Duration};
 
@@ -52,14 +53,14 @@
 /// A group is worth more the fewer groups its model has for its part of the work, and the
 /// sooner it serves.
 pub(crate) fn best_candidate(
-    engine: &Engine,
+    input: &PlannerInput<'_>,
     free: &BTreeMap<FabricId, Vec<FreeHost>>,
     groups: &BTreeMap<ModelId, usize>,
     loads: usize,
 ) -> Option<Candidate> {
     let mut best: Option<(f64, Candidate)> = None;
-    for model in &engine.models {
-        let need = model_need(model, groups);
+    for model in &input.engine.models {
+        let need = model_need(model, input.demand, groups);
         for (fabric, hosts) in free {
             let Some(candidate) = candidate_in(model, fabric, hosts, loads) else {
                 continue;
@@ -73,10 +74,19 @@
     best.map(|(_, candidate)| candidate)
 }
 
-/// The work of a model's share, in times of a group, over the groups that it has.
-pub(crate) fn model_need(model: &EngineModel, groups: &BTreeMap<ModelId, usize>) -> f64 {
+/// The work that asks for a model over the groups that it has. Until the work has been
+/// measured, the manifest's shares stand for it.
+pub(crate) fn model_need(
+    model: &EngineModel,
+    demand: &BTreeMap<ModelId, f64>,
+    groups: &BTreeMap<ModelId, usize>,
+) -> f64 {
     let count = groups.get(&model.name).copied().unwrap_or(0) as f64;
-    model.share * model.pace / (count + 0.5)
+    let work = match demand.is_empty() {
+        true => model.share,
+        false => demand.get(&model.name).copied().unwrap_or(0.0),
+    };
+    work / (count + 0.5)
 }
 
 /// A group that serves this much later is worth half.
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -32,6 +32,9 @@
     pub engine: &'a Engine,
     /// Failure domains that operators have taken out.
     pub domains_out: &'a BTreeSet<DomainId>,
+    /// The work that callers asked for lately, by model, in groups that it would fill; empty
+    /// until enough has been asked for.
+    pub demand: &'a BTreeMap<ModelId, f64>,
     /// Groups whose head an entry has seen working lately.
     pub alive: &'a BTreeSet<GroupName>,
     /// Groups whose head has stood still with work to do.
@@ -644,7 +647,7 @@
             let counts = self.counts();
             // A join that loads would hold its hosts for long; weights are staged instead.
             let room = if input.loads_unlimited { usize::MAX } else { 0 };
-            let Some(candidate) = best_candidate(input.engine, free, &counts, room) else {
+            let Some(candidate) = best_candidate(input, free, &counts, room) else {
                 return formed;
             };
             if let Some(hosts) = free.get_mut(&candidate.fabric) {
@@ -798,7 +801,7 @@
             let have = ready.get(&model.name).copied().unwrap_or(0);
             let missing = model.size - have % model.size;
             let unspared = if have == 0 { self.groups_in(fabric, model, input) } else { 0 };
-            unspared as f64 + model_need(model, &counts) / missing as f64
+            unspared as f64 + model_need(model, input.demand, &counts) / missing as f64
         };
         input.engine.models.iter().max_by(|a, b| score(a).total_cmp(&score(b)))
     }
