Let members leave a group whose head is out of touch

Cause: survivors of a dead head were idle for 4.3 s until the head would have broken. A member that has left belongs to no group, and its old head can't move without it, so it may join another one at once.

--- a/crates/groups/src/limits.rs
+++ b/crates/groups/src/limits.rs
@@ -11,8 +11,6 @@
     /// Silence after which a plain replica leaves the routing view. Entries notice a dead
     /// one by themselves, so this only has to be longer than a late report.
     pub replica_silence: Duration,
-    /// Time after which a head whose member left has certainly stopped serving.
-    pub stall: Duration,
     /// How long a new leader waits for the reports of all hosts: one interval, and the time
     /// that a host loses on a leader that has no power.
     pub learn: Duration,
@@ -29,13 +27,11 @@
 }
 
 impl Limits {
-    /// Limits for backend servers that report every `report_every` and for engines whose
-    /// heads break `stall` after they lost a member.
-    pub fn new(report_every: Duration, stall: Duration) -> Limits {
+    /// Limits for backend servers that report every `report_every`.
+    pub fn new(report_every: Duration) -> Limits {
         Limits {
             member_silence: report_every * 5 / 2,
             replica_silence: report_every * 4,
-            stall: stall + Duration::from_millis(300),
             learn: report_every + Duration::from_millis(1200),
             forget: Duration::from_secs(120),
             resend: Duration::from_millis(400),
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -63,11 +63,6 @@
         /// Whether running work is cut off.
         cut: bool,
     },
-    /// Its head is silent; its other members left, so that it breaks by this time.
-    Breaking {
-        /// When the head has certainly stopped.
-        until: Instant,
-    },
 }
 
 /// A group.
@@ -137,6 +132,8 @@
     limits: Limits,
     groups: BTreeMap<GroupName, Group>,
     ended: Vec<GroupName>,
+    /// Groups that ended in this term, and whose head certainly serves no more.
+    closed: BTreeSet<GroupName>,
     pending: BTreeSet<HostId>,
     /// No order goes to a host before this time.
     backoff: BTreeMap<HostId, Instant>,
@@ -178,6 +175,7 @@
             limits,
             groups,
             ended: Vec::new(),
+            closed: BTreeSet::new(),
             pending: BTreeSet::new(),
             backoff: BTreeMap::new(),
             staging: BTreeMap::new(),
@@ -219,7 +217,7 @@
     /// The changes and orders that are due.
     pub fn step(&mut self, input: &PlannerInput<'_>) -> Step {
         let mut orders = Vec::new();
-        self.close_strays(input, &mut orders);
+        self.clear_strays(input, &mut orders);
         let names: Vec<GroupName> = self.groups.keys().cloned().collect();
         for name in names {
             self.tend(&name, input, &mut orders);
@@ -260,7 +258,7 @@
                     }
                 }
             }
-            OrderKind::Close { group, .. } if gone => self.end(group),
+            OrderKind::Close { group, .. } if gone => self.end_closed(group),
             OrderKind::Close { group, epoch, .. } => {
                 let form_slack = self.limits.resend * 2;
                 if let Some(current) = self.group_mut(group, *epoch) {
@@ -278,7 +276,7 @@
                     .group_mut(group, *epoch)
                     .is_some_and(|current| current.members[0] == *host);
                 if left && head {
-                    self.end(group);
+                    self.end_closed(group);
                 }
             }
             OrderKind::Stage { .. } => {
@@ -318,6 +316,14 @@
         self.groups.get_mut(name).filter(|group| group.epoch == epoch)
     }
 
+    /// Ends a group whose head certainly serves no more.
+    fn end_closed(&mut self, name: &GroupName) {
+        self.closed.insert(name.clone());
+        self.end(name);
+    }
+
+    /// Ends a group. Unless its head has closed, each member leaves it before it joins
+    /// another one.
     fn end(&mut self, name: &GroupName) {
         if self.groups.remove(name).is_some() {
             self.ended.push(name.clone());
@@ -388,14 +394,6 @@
             Phase::Closing { cut } => {
                 self.tend_closing(name, &group, &members, cut, input, orders);
             }
-            Phase::Breaking { until } => {
-                self.leave_all(name, &group, &members, input, orders);
-                if until <= input.now {
-                    self.end(name);
-                } else if members[0] != Member::Silent {
-                    self.set_phase(name, Phase::Closing { cut: true });
-                }
-            }
         }
     }
 
@@ -435,7 +433,8 @@
             if group.open_asked.is_some() {
                 self.set_phase(name, Phase::Closing { cut: true });
             } else {
-                self.end(name);
+                // Its head was never told to open.
+                self.end_closed(name);
             }
             return;
         }
@@ -507,8 +506,8 @@
     ) {
         let head = &group.members[0];
         match members[0] {
-            Member::Dead | Member::Elsewhere => self.end(name),
-            Member::In(MemberState::Broken) if !group.open_unsure => self.end(name),
+            Member::Dead | Member::Elsewhere => self.end_closed(name),
+            Member::In(MemberState::Broken) if !group.open_unsure => self.end_closed(name),
             Member::In(state) => {
                 let heard = input.registry.hosts().get(head).map(|seen| seen.heard);
                 let seen_closed = state == MemberState::Ready
@@ -527,31 +526,11 @@
                     let kind = OrderKind::Leave { group: name.clone(), epoch: group.epoch };
                     self.order(head, kind, input, orders);
                 } else {
-                    self.end(name);
+                    self.end_closed(name);
                 }
             }
-            Member::Silent => {
-                let until = input.now + self.limits.stall;
-                self.set_phase(name, Phase::Breaking { until });
-                self.leave_all(name, group, members, input, orders);
-            }
-        }
-    }
-
-    /// Makes the members that can be reached leave, so that the head breaks.
-    fn leave_all(
-        &mut self,
-        name: &GroupName,
-        group: &Group,
-        members: &[Member],
-        input: &PlannerInput<'_>,
-        orders: &mut Vec<HostOrder>,
-    ) {
-        for (host, member) in group.members.iter().zip(members) {
-            if matches!(member, Member::In(_)) {
-                let kind = OrderKind::Leave { group: name.clone(), epoch: group.epoch };
-                self.order(host, kind, input, orders);
-            }
+            // Its members leave one by one, so that it stands still if it lives.
+            Member::Silent => self.end(name),
         }
     }
 
@@ -595,30 +574,41 @@
         group.members.iter().any(|host| hosts.get(host).is_some_and(|seen| seen.report.leaving))
     }
 
-    /// Closes heads that serve for a group which has ended: they were out of touch then.
-    fn close_strays(&mut self, input: &PlannerInput<'_>, orders: &mut Vec<HostOrder>) {
+    /// Takes hosts out of groups that have ended: their heads were out of touch then, or
+    /// are still, and may serve.
+    fn clear_strays(&mut self, input: &PlannerInput<'_>, orders: &mut Vec<HostOrder>) {
         for (host, seen) in input.registry.hosts() {
             let Some(part) = &seen.report.membership else {
                 continue;
             };
             let present = seen.is_present(self.limits.member_silence, input.now);
-            if present && part.serves() && !self.groups.contains_key(&part.group) {
-                let kind =
-                    OrderKind::Close { group: part.group.clone(), epoch: part.epoch, cut: true };
-                self.order(host, kind, input, orders);
+            if !present || !self.is_stray(part) {
+                continue;
             }
+            let (group, epoch) = (part.group.clone(), part.epoch);
+            let kind = match part.serves() {
+                true => OrderKind::Close { group, epoch, cut: true },
+                false => OrderKind::Leave { group, epoch },
+            };
+            self.order(host, kind, input, orders);
         }
     }
 
+    /// Whether a host must leave the group that it reports before it joins another one.
+    fn is_stray(&self, part: &Membership) -> bool {
+        let ended = !self.groups.contains_key(&part.group);
+        ended && (part.serves() || !self.closed.contains(&part.group))
+    }
+
     fn free_hosts(&self, input: &PlannerInput<'_>) -> BTreeMap<FabricId, Vec<FreeHost>> {
         let taken: BTreeSet<&HostId> =
             self.groups.values().flat_map(|group| &group.members).collect();
         let mut free: BTreeMap<FabricId, Vec<FreeHost>> = BTreeMap::new();
         for (host, seen) in input.registry.hosts() {
             let report = &seen.report;
-            let serves = report.membership.as_ref().is_some_and(Membership::serves);
+            let stray = report.membership.as_ref().is_some_and(|part| self.is_stray(part));
             let usable = report.service == *input.service
-                && !serves
+                && !stray
                 && seen.is_present(self.limits.member_silence, input.now)
                 && !report.leaving
                 && !input.domains_out.contains(&report.domain)
