--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -5,9 +5,11 @@
 mod budget;
 mod cold;
 mod demand;
+mod departure;
 mod floor;
 mod table;
 
 pub use budget::RetryBudget;
+pub use departure::Departure;
 pub use floor::{Choice, Floor, Refused, Ticket, Wish};
 pub use table::{KeyCheck, Table};
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -178,6 +178,9 @@
         let limit = table.manifest().limits.body_bytes;
         let patience = ask.patience.unwrap_or(route.timeout).min(route.timeout);
         let deadline = began + patience;
+        if !self.shared.accepts(deadline) {
+            return Err(Refusal::Leaving);
+        }
         let left = deadline.saturating_duration_since(self.shared.clock.now());
         let body = match with_timeout(left, collect(body, limit)).await {
             Ok(Ok(body)) => body,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,6 +1,6 @@
 //! What the tasks of an entry share.
 
-use admission::{Floor, RetryBudget, Table};
+use admission::{Departure, Floor, RetryBudget, Table};
 use base::{clock::Clock, sync::lock};
 use fleet::{EntryStatus, Manifest, RoutingView};
 use model::ids::{DomainId, EntryId, ServiceId};
@@ -12,7 +12,7 @@
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// Limits that all entries keep together.
@@ -47,7 +47,7 @@
     budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
     directory: Mutex<Vec<SocketAddr>>,
     has_view: AtomicBool,
-    leaving: AtomicBool,
+    departure: Mutex<Option<Departure>>,
     served: AtomicU64,
 }
 
@@ -76,7 +76,7 @@
             budgets: Mutex::default(),
             directory: Mutex::default(),
             has_view: AtomicBool::new(false),
-            leaving: AtomicBool::new(false),
+            departure: Mutex::default(),
             served: AtomicU64::new(0),
         }
     }
@@ -98,12 +98,18 @@
 
     /// Whether the process is about to end.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Acquire)
+        lock(&self.departure).is_some()
     }
 
-    /// Takes the entry out of the directory; it goes on serving.
-    pub fn leave(&self) {
-        self.leaving.store(true, Ordering::Release);
+    /// Takes the entry out of the directory; it goes on serving, until `end` at the latest.
+    pub fn leave(&self, end: Instant) {
+        *lock(&self.departure) = Some(Departure { began: self.clock.now(), end });
+    }
+
+    /// Whether a request may be accepted that its caller awaits until `deadline`.
+    pub(crate) fn accepts(&self, deadline: Instant) -> bool {
+        let now = self.clock.now();
+        lock(&self.departure).is_none_or(|departure| departure.accepts(now, deadline))
     }
 
     /// Takes a manifest, unless a newer one is known.
@@ -158,7 +164,7 @@
     fn with_budget<T>(
         &self,
         service: &ServiceId,
-        act: impl FnOnce(&mut RetryBudget, std::time::Instant) -> T,
+        act: impl FnOnce(&mut RetryBudget, Instant) -> T,
     ) -> T {
         let now = self.clock.now();
         let entries = lock(&self.directory).len().max(1);
