--- /dev/null
+++ b/crates/groups/tests/lifecycle.rs
@@ -0,0 +1,191 @@
+//! The life of groups under single faults, each of which once broke a promise.
+
+mod world;
+
+use engine::FieldPlan;
+use fleet::GroupName;
+use googletest::prelude::*;
+use model::ids::HostId;
+use std::time::Duration;
+use world::World;
+
+/// A group with the given number of members that serves.
+fn group_of(world: &World, size: usize) -> GroupName {
+    let serving = world.serving();
+    serving.into_iter().find(|name| world.members_of(name).len() == size).expect("such a group")
+}
+
+fn kill(world: &mut World, host: &HostId) {
+    world.field.host_mut(host).expect("a host").alive = false;
+}
+
+#[gtest]
+fn step_first_start_forms_groups_of_both_models() {
+    let world = World::formed(1);
+    let whole = world.field.whole_groups();
+    expect_that!(whole["large"], ge(6));
+    expect_that!(whole["small"], ge(4));
+    expect_that!(world.field.breaches, is_empty());
+}
+
+#[gtest]
+fn step_member_dies_repairs_with_a_staged_spare() {
+    let mut world = World::formed(2);
+    let before = world.whole();
+    let name = group_of(&world, 4);
+    let member = world.members_of(&name)[1].clone();
+    kill(&mut world, &member);
+    world.stalled.insert(name.clone());
+    world.run_ms(5000);
+    expect_that!(world.whole(), ge(before), "no group less within 5 s of a member's death");
+    expect_that!(world.field.breaches, is_empty());
+}
+
+#[gtest]
+fn step_head_dies_frees_its_members_without_waiting() {
+    let mut world = World::formed(3);
+    let before = world.whole();
+    let name = group_of(&world, 4);
+    let head = world.members_of(&name)[0].clone();
+    kill(&mut world, &head);
+    world.stalled.insert(name.clone());
+    world.run_ms(5000);
+    expect_that!(world.whole(), ge(before));
+    expect_that!(world.field.breaches, is_empty());
+}
+
+#[gtest]
+fn step_head_out_of_touch_members_leave_first() {
+    let mut world = World::formed(4);
+    let name = group_of(&world, 4);
+    let head = world.members_of(&name)[0].clone();
+    world.field.host_mut(&head).expect("a host").reachable = false;
+    world.run_ms(8000);
+    expect_that!(world.serving(), not(contains(eq(&name))));
+    expect_that!(world.field.breaches, is_empty());
+    world.field.host_mut(&head).expect("a host").reachable = true;
+    world.run_ms(8000);
+    expect_that!(world.field.breaches, is_empty());
+}
+
+#[gtest]
+fn step_head_out_of_touch_goes_on_while_entries_see_it_work() {
+    let mut world = World::formed(5);
+    let name = group_of(&world, 3);
+    let head = world.members_of(&name)[0].clone();
+    world.field.host_mut(&head).expect("a host").reachable = false;
+    world.alive.insert(name.clone());
+    world.run_ms(8000);
+    expect_that!(world.serving(), contains(eq(&name)));
+}
+
+#[gtest]
+fn step_host_that_leaves_first_stays_until_its_head_closed() {
+    let mut world = World::formed(6);
+    let name = group_of(&world, 4);
+    for host in world.members_of(&name) {
+        // The backend server serves on for seconds after it said that it ends.
+        world.registry.remove(&host);
+        break;
+    }
+    world.run_ms(3000);
+    expect_that!(world.serving(), not(contains(eq(&name))));
+    expect_that!(world.field.breaches, is_empty());
+}
+
+#[gtest]
+fn resume_new_leader_keeps_groups_whose_hosts_report_late() {
+    let mut world = World::formed(7);
+    let before = world.serving();
+    world.change_leader();
+    // A third of a report interval: most hosts have not reported yet.
+    world.run_ms(400);
+    expect_that!(world.field.breaches, is_empty());
+    world.run_ms(2600);
+    expect_that!(world.serving(), eq(&before));
+    expect_that!(world.field.breaches, is_empty());
+}
+
+#[gtest]
+fn resume_new_leader_in_the_middle_of_forming_breaks_nothing() {
+    let mut world = World::formed(8);
+    let name = group_of(&world, 4);
+    let member = world.members_of(&name)[2].clone();
+    kill(&mut world, &member);
+    world.stalled.insert(name);
+    for _ in 0..12 {
+        world.run_ms(180);
+        world.change_leader();
+    }
+    world.run_ms(12_000);
+    expect_that!(world.field.breaches, is_empty());
+    expect_that!(world.whole(), ge(9));
+}
+
+#[gtest]
+fn step_domain_out_forms_nothing_there() {
+    let mut world = World::new(&FieldPlan { domains: 2, fabrics: 1, hosts: 8 }, 9);
+    world.domains_out.insert("d0".into());
+    world.run_ms(6000);
+    for name in world.serving() {
+        let head = &world.members_of(&name)[0];
+        let seen = &world.registry.hosts()[head];
+        expect_that!(&*seen.report.domain, eq("d1"));
+    }
+}
+
+#[gtest]
+fn step_orders_answered_late_break_nothing() {
+    for seed in 0..8 {
+        let mut world = World::formed(100 + seed);
+        world.late_percent = 35;
+        let name = group_of(&world, 4);
+        let member = world.members_of(&name)[(seed % 4) as usize].clone();
+        kill(&mut world, &member);
+        world.stalled.insert(name);
+        world.run_ms(30_000);
+        expect_that!(world.field.breaches, is_empty(), "seed {seed}");
+    }
+}
+
+#[gtest]
+fn step_stage_gives_a_lone_spare_the_model_of_its_neighbours() {
+    let mut world = World::new(&FieldPlan { domains: 1, fabrics: 1, hosts: 9 }, 10);
+    world.run_ms(8000);
+    let groups = world.field.whole_groups();
+    let spares: Vec<_> = world
+        .registry
+        .hosts()
+        .values()
+        .filter(|seen| seen.report.membership.is_none())
+        .map(|seen| seen.report.staged.clone())
+        .collect();
+    expect_that!(spares, not(is_empty()));
+    for staged in spares {
+        expect_that!(staged, len(eq(1)));
+        expect_true!(groups.contains_key(&staged[0]), "{staged:?} is spare for no group");
+    }
+}
+
+#[gtest]
+fn take_report_of_an_earlier_life_is_refused() {
+    let mut world = World::formed(11);
+    let id: HostId = "h000".into();
+    let old = world.field.report(&id).expect("it is reachable");
+    world.field.restart(&id);
+    let new = world.field.report(&id).expect("it is reachable");
+    expect_true!(world.registry.take(new, world.now));
+    expect_false!(world.registry.take(old, world.now + Duration::from_secs(1)));
+}
+
+#[gtest]
+fn take_address_used_again_ends_the_earlier_host() {
+    let mut world = World::formed(12);
+    let mut other = world.field.report("h001").expect("it is reachable");
+    let first = world.field.report("h000").expect("it is reachable");
+    other.host = "newcomer".into();
+    other.address = first.address;
+    other.born = first.born + 1000;
+    expect_true!(world.registry.take(other, world.now));
+    expect_true!(world.registry.hosts()["h000"].gone);
+}
--- /dev/null
+++ b/crates/groups/tests/random.rs
@@ -0,0 +1,91 @@
+//! Randomised runs of the planner: deaths, restarts, silences, departures, changes of
+//! leader, late orders and failure domains out and back.
+//!
+//! `KINGCUP_CASES=N` runs N cases in place of the default.
+
+mod world;
+
+use engine::FieldPlan;
+use fastrand::Rng;
+use model::ids::HostId;
+use std::env;
+use world::World;
+
+const DEFAULT_CASES: u64 = 40;
+const FAULTS: usize = 24;
+
+fn cases() -> u64 {
+    env::var("KINGCUP_CASES").ok().and_then(|text| text.parse().ok()).unwrap_or(DEFAULT_CASES)
+}
+
+#[test]
+fn step_random_faults_no_breach_and_service_returns() {
+    for seed in 0..cases() {
+        run(seed);
+    }
+}
+
+fn run(seed: u64) {
+    let mut rng = Rng::with_seed(seed);
+    let plan = FieldPlan { domains: rng.usize(1..=3), fabrics: rng.usize(1..=2), hosts: 9 };
+    let mut world = World::new(&plan, seed);
+    world.run_ms(6000);
+    world.field.traffic = true;
+    world.late_percent = if rng.bool() { 0 } else { rng.u8(1..40) };
+    for _ in 0..FAULTS {
+        harm(&mut world, &mut rng);
+        world.run_ms(rng.u64(20..2500));
+        assert!(world.field.breaches.is_empty(), "seed {seed}: {:?}", world.field.breaches);
+    }
+    heal(&mut world);
+    world.run_ms(45_000);
+    assert!(world.field.breaches.is_empty(), "seed {seed}: {:?}", world.field.breaches);
+    // Two models fit into each fabric domain of nine hosts; loads after the faults are slow.
+    let fabrics = plan.domains * plan.fabrics;
+    assert!(world.whole() >= fabrics, "seed {seed}: {} groups serve", world.whole());
+}
+
+fn harm(world: &mut World, rng: &mut Rng) {
+    let ids: Vec<HostId> = world.field.hosts().keys().cloned().collect();
+    let id = ids[rng.usize(..ids.len())].clone();
+    match rng.u8(0..10) {
+        0..=2 => world.field.host_mut(&id).expect("a host").alive = false,
+        3 => world.field.restart(&id),
+        4 | 5 => {
+            let host = world.field.host_mut(&id).expect("a host");
+            host.reachable = !host.reachable;
+        }
+        6 => {
+            world.field.host_mut(&id).expect("a host").leaving = true;
+        }
+        7 => {
+            world.registry.remove(&id);
+        }
+        8 => world.change_leader(),
+        _ => {
+            let domain = world.field.hosts().len() % 3;
+            world.domains_out = [format!("d{domain}").into()].into();
+        }
+    }
+    // Entries see heads that stand still.
+    let stalled = world
+        .serving()
+        .into_iter()
+        .filter(|name| world.members_of(name).iter().any(|host| !world.field.hosts()[host].alive));
+    world.stalled = stalled.collect();
+}
+
+fn heal(world: &mut World) {
+    world.late_percent = 0;
+    world.domains_out.clear();
+    world.stalled.clear();
+    let ids: Vec<HostId> = world.field.hosts().keys().cloned().collect();
+    for id in ids {
+        let host = world.field.host_mut(&id).expect("a host");
+        host.reachable = true;
+        if !host.alive || host.leaving {
+            world.field.restart(&id);
+        }
+    }
+    world.report_all();
+}
