--- /dev/null
+++ b/crates/admission/tests/floor.rs
@@ -0,0 +1,217 @@
+//! The choice of a backend server.
+
+use admission::{Floor, Refused, Wish};
+use fleet::{
+    CallerLimits, ColdLimit, Engine, EngineModel, Manifest, Replica, RoutingView, Service,
+};
+use googletest::prelude::*;
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+const SLOTS: u32 = 26;
+
+fn engine() -> Engine {
+    Engine {
+        slots: SLOTS,
+        memory_tokens: 1_590_000,
+        stride: 7,
+        step_ms: 5.95,
+        step_request_ms: 0.0445,
+        step_context_ms: 0.00813,
+        read_per_s: 50_700.0,
+        pairs_ms: 0.368,
+        chunk: 2048,
+        loads_per_s: 4.5,
+        loads_at_once: 6,
+        form: Duration::from_millis(300),
+        models: vec![EngineModel {
+            name: "large".into(),
+            size: 4,
+            pace: 1.0,
+            share: 1.0,
+            load: Duration::from_secs(16),
+            warmup: Duration::from_millis(1600),
+        }],
+    }
+}
+
+fn manifest(cold_per_s: f64) -> Arc<Manifest> {
+    let service = |name: &str, engine| Service {
+        name: name.into(),
+        connections_max: 100,
+        cold: ColdLimit { per_s: cold_per_s },
+        engine,
+    };
+    Arc::new(Manifest {
+        number: 1,
+        routes: Vec::new(),
+        services: vec![service("engines", Some(engine())), service("ledger", None)],
+        limits: CallerLimits {
+            header_bytes: 16_384,
+            body_bytes: 1 << 20,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+        teams: Vec::new(),
+    })
+}
+
+fn replica(host: &str, domain: &str, group: Option<(&str, &str)>) -> Replica {
+    Replica {
+        host: host.into(),
+        service: if group.is_some() { "engines".into() } else { "ledger".into() },
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9000)),
+        domain: domain.into(),
+        slots: 6,
+        cold: Duration::ZERO,
+        group: group.map(|(name, model)| (name.into(), model.into())),
+    }
+}
+
+fn view(replicas: Vec<Replica>, entries: u16) -> RoutingView {
+    let address = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, 8000 + port));
+    RoutingView { replicas, entries: (0..entries).map(address).collect() }
+}
+
+fn floor(replicas: Vec<Replica>, entries: u16, cold_per_s: f64, now: Instant) -> Floor {
+    let mut floor = Floor::new("near".into());
+    floor.set_manifest(manifest(cold_per_s));
+    floor.set_view(view(replicas, entries), now);
+    floor
+}
+
+fn wish(avoid: &[&str]) -> Wish {
+    Wish {
+        service: "engines".into(),
+        model: Some("large".into()),
+        prompt_tokens: 1000,
+        answer_tokens: 100,
+        avoid: avoid.iter().map(|host| (*host).into()).collect(),
+    }
+}
+
+#[gtest]
+fn choose_places_are_shared_by_all_entries() {
+    let now = Instant::now();
+    let mut floor = floor(vec![replica("a", "near", Some(("g1", "large")))], 4, 0.0, now);
+    let taken = (0..100).take_while(|_| floor.choose(&wish(&[]), now).is_ok()).count();
+    expect_that!(taken, eq(SLOTS.div_ceil(4) as usize));
+    expect_that!(floor.choose(&wish(&[]), now), err(matches_pattern!(Refused::Full(_))));
+}
+
+#[gtest]
+fn choose_place_is_given_back() {
+    let now = Instant::now();
+    let mut floor = floor(vec![replica("a", "near", Some(("g1", "large")))], 26, 0.0, now);
+    let choice = floor.choose(&wish(&[]), now).expect("a place");
+    expect_true!(floor.choose(&wish(&[]), now).is_err());
+    floor.finish(&choice.ticket);
+    expect_true!(floor.choose(&wish(&[]), now).is_ok());
+}
+
+#[gtest]
+fn choose_spreads_over_groups_of_the_model() {
+    let now = Instant::now();
+    let groups = vec![
+        replica("a", "near", Some(("g1", "large"))),
+        replica("b", "near", Some(("g2", "large"))),
+        replica("c", "near", Some(("g3", "other"))),
+    ];
+    let mut floor = floor(groups, 4, 0.0, now);
+    for _ in 0..8 {
+        floor.choose(&wish(&[]), now).expect("a place");
+    }
+    let work: Vec<(String, usize)> = floor.work().map(|(h, n)| (h.to_string(), n)).collect();
+    expect_that!(
+        work,
+        elements_are![eq(&("a".to_owned(), 4)), eq(&("b".to_owned(), 4)), eq(&("c".to_owned(), 0))]
+    );
+}
+
+#[gtest]
+fn choose_avoids_those_that_failed_and_those_out_of_reach() {
+    let now = Instant::now();
+    let groups = vec![
+        replica("a", "near", Some(("g1", "large"))),
+        replica("b", "near", Some(("g2", "large"))),
+    ];
+    let mut floor = floor(groups, 1, 0.0, now);
+    floor.unreachable(&"b".into(), now);
+    expect_that!(&*floor.choose(&wish(&[]), now).expect("a place").replica.host, eq("a"));
+    expect_that!(floor.choose(&wish(&["a"]), now), err(matches_pattern!(Refused::Full(_))));
+    let later = now + Duration::from_secs(2);
+    expect_that!(&*floor.choose(&wish(&["a"]), later).expect("a place").replica.host, eq("b"));
+}
+
+#[gtest]
+fn choose_unknown_model_is_offered_by_nobody() {
+    let now = Instant::now();
+    let mut floor = floor(vec![replica("a", "near", Some(("g1", "other")))], 1, 0.0, now);
+    expect_that!(floor.choose(&wish(&[]), now), err(eq(&Refused::Nobody)));
+}
+
+#[gtest]
+fn choose_cold_head_gets_its_share_of_what_it_bears() {
+    let now = Instant::now();
+    let mut cold = replica("a", "near", Some(("g1", "large")));
+    cold.cold = Duration::from_secs(3);
+    let mut floor = floor(vec![cold], 4, 12.0, now);
+    let taken = (0..100).take_while(|_| floor.choose(&wish(&[]), now).is_ok()).count();
+    expect_that!(taken, eq(3), "a fourth of 12 a second");
+    let later = now + Duration::from_millis(1100);
+    expect_true!(floor.choose(&wish(&[]), later).is_ok());
+}
+
+#[gtest]
+fn choose_refused_callers_come_back_apart() {
+    let now = Instant::now();
+    let mut floor = floor(vec![replica("a", "near", Some(("g1", "large")))], 26, 0.0, now);
+    floor.choose(&wish(&[]), now).expect("a place");
+    let mut waits: Vec<Duration> = (0..10)
+        .filter_map(|_| match floor.choose(&wish(&[]), now) {
+            Err(Refused::Full(after)) => Some(after),
+            _ => None,
+        })
+        .collect();
+    waits.sort_unstable();
+    let least_gap = waits.windows(2).map(|pair| pair[1] - pair[0]).min().expect("ten waits");
+    expect_that!(least_gap, gt(Duration::from_millis(20)));
+}
+
+#[gtest]
+fn stalled_group_with_old_work_and_no_event() {
+    let now = Instant::now();
+    let mut floor = floor(vec![replica("a", "near", Some(("g1", "large")))], 1, 0.0, now);
+    let choice = floor.choose(&wish(&[]), now).expect("a place");
+    let after = Duration::from_millis(400);
+    expect_that!(floor.stalled(after, now + Duration::from_millis(300)), is_empty());
+    expect_that!(floor.stalled(after, now + Duration::from_millis(500)), len(eq(1)));
+    floor.progress(&choice.ticket, now + Duration::from_millis(450));
+    expect_that!(floor.stalled(after, now + Duration::from_millis(500)), is_empty());
+    expect_that!(floor.alive(after, now + Duration::from_millis(500)), len(eq(1)));
+}
+
+#[gtest]
+fn demand_counts_a_request_once() {
+    let now = Instant::now();
+    let mut floor = floor(vec![replica("a", "near", Some(("g1", "large")))], 1, 0.0, now);
+    floor.choose(&wish(&[]), now).expect("a place");
+    let once = floor.demand(now);
+    let _ = floor.choose(&wish(&["a"]), now);
+    expect_that!(floor.demand(now), eq(&once));
+}
+
+#[gtest]
+fn set_view_keeps_work_of_groups_that_stay() {
+    let now = Instant::now();
+    let group = replica("a", "near", Some(("g1", "large")));
+    let mut floor = floor(vec![group.clone()], 26, 0.0, now);
+    floor.choose(&wish(&[]), now).expect("a place");
+    floor.set_view(view(vec![group], 26), now);
+    expect_true!(floor.choose(&wish(&[]), now).is_err());
+    floor.set_view(view(vec![replica("a", "near", Some(("g2", "large")))], 26), now);
+    expect_true!(floor.choose(&wish(&[]), now).is_ok(), "a new group has no work yet");
+}
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use driver::{Config, Driver};
 pub use events::{Call, Event, Handle, Reply};
-pub use ledger::{Command, StoredManifest};
+pub use ledger::{Command, Ledger, StoredManifest};
 pub use links::Links;
 pub use metrics::Counters;
 pub use sessions::Sessions;
--- /dev/null
+++ b/crates/coordinator/tests/ledger.rs
@@ -0,0 +1,63 @@
+//! The replicated state.
+
+use coordinator::{Command, Ledger, StoredManifest};
+use fleet::{CallerLimits, GroupChange, GroupRecord, Manifest};
+use googletest::prelude::*;
+use std::time::Duration;
+
+fn manifest(number: u64, body: &str) -> Command {
+    let limits = CallerLimits {
+        header_bytes: 1,
+        body_bytes: 1,
+        header_timeout: Duration::ZERO,
+        idle_timeout: Duration::ZERO,
+    };
+    let manifest = Manifest { number, routes: vec![], services: vec![], limits, teams: vec![] };
+    Command::Manifest(Box::new(StoredManifest { body: body.into(), manifest }))
+}
+
+fn formed(name: &str, hosts: &[&str]) -> Command {
+    let members = hosts.iter().map(|host| ((*host).into(), 1)).collect();
+    let record = GroupRecord { epoch: 1, model: "m".into(), members };
+    Command::Group(GroupChange::Formed { name: name.into(), record })
+}
+
+#[gtest]
+fn apply_highest_manifest_stays() {
+    let mut ledger = Ledger::default();
+    expect_true!(ledger.apply(1, manifest(5, "five")));
+    expect_false!(ledger.apply(2, manifest(4, "four")));
+    expect_false!(ledger.apply(3, manifest(5, "another five")));
+    let stored = ledger.manifest.as_ref().expect("a manifest");
+    expect_that!(&stored.body[..], eq(b"five"));
+    expect_true!(ledger.apply(4, manifest(6, "six")));
+    expect_that!((ledger.number(), ledger.applied), eq((6, 4)));
+}
+
+#[gtest]
+fn apply_domains_out_and_back() {
+    let mut ledger = Ledger::default();
+    ledger.apply(1, Command::DomainOut("a".into()));
+    ledger.apply(2, Command::DomainOut("a".into()));
+    expect_that!(ledger.domains_out, len(eq(1)));
+    ledger.apply(3, Command::DomainBack("a".into()));
+    expect_that!(ledger.domains_out, is_empty());
+}
+
+#[gtest]
+fn apply_host_moves_after_its_group_ended() {
+    let mut ledger = Ledger::default();
+    ledger.apply(1, formed("g1", &["a", "b"]));
+    ledger.apply(2, Command::Group(GroupChange::Ended { name: "g1".into() }));
+    ledger.apply(3, formed("g2", &["b", "c"]));
+    expect_that!(ledger.group_of(&"b".into()).map(|name| &**name), some(eq("g2")));
+    expect_that!(ledger.group_of(&"a".into()), none());
+}
+
+#[test]
+#[should_panic(expected = "a host in two groups")]
+fn apply_host_in_two_groups_panics() {
+    let mut ledger = Ledger::default();
+    ledger.apply(1, formed("g1", &["a", "b"]));
+    ledger.apply(2, formed("g2", &["b", "c"]));
+}
