--- a/crates/base/src/logs.rs
+++ b/crates/base/src/logs.rs
@@ -1,8 +1,27 @@
-//! Structured logs: one line for each change of state, as `key=value` pairs.
+//! Structured logs: one line for each decision or change of belief, as `key=value` pairs.
+//!
+//! Lines pass through a bounded queue to a thread that writes them, so that no task waits
+//! for the output. What does not fit, or exceeds the rate, is dropped and counted.
 
 use log::LevelFilter;
 use simplelog::{ConfigBuilder, WriteLogger};
-use std::io;
+use std::{
+    io::{self, Write},
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        mpsc::{Receiver, SyncSender, sync_channel},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+/// Lines that may wait to be written: a second of the highest rate.
+const QUEUE_LINES: usize = 2000;
+/// Most lines a second: some ten for each request of an entry's share of the users' load.
+const LINES_PER_S: u64 = 2000;
+const EXIT_PANIC: i32 = 4;
+
+static DROPPED: AtomicU64 = AtomicU64::new(0);
 
 /// Starts logging to standard error at the level `info`.
 ///
@@ -18,23 +37,91 @@
     start_to(io::stdout());
 }
 
-fn start_to(target: impl io::Write + Send + 'static) {
-    let cfg = ConfigBuilder::new()
-        .set_time_format_rfc3339()
-        .set_target_level(LevelFilter::Off)
-        .set_thread_level(LevelFilter::Off)
-        .set_location_level(LevelFilter::Off)
-        .build();
-    let _ = WriteLogger::init(LevelFilter::Info, cfg, target);
+/// Lines that were dropped since the process started.
+pub fn dropped() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
 }
 
 /// Ends the process when any of its threads panics: the others would go on without it.
 /// The exit code tells a panic from a wrong setting and from a fault of the storage.
 pub fn exit_on_panic() {
     std::panic::set_hook(Box::new(|info| {
-        log::error!("event=panic cause=\"{}\"", info.to_string().replace(['"', '\n'], " "));
+        let cause = info.to_string().replace(['"', '\n'], " ");
+        // The queue may never be written any more.
+        eprintln!("event=panic cause=\"{cause}\"");
         std::process::exit(EXIT_PANIC)
     }));
 }
 
-const EXIT_PANIC: i32 = 4;
+fn start_to(target: impl Write + Send + 'static) {
+    let cfg = ConfigBuilder::new()
+        .set_time_format_rfc3339()
+        .set_target_level(LevelFilter::Off)
+        .set_thread_level(LevelFilter::Off)
+        .set_location_level(LevelFilter::Off)
+        .build();
+    let (tx, rx) = sync_channel(QUEUE_LINES);
+    let spawned =
+        thread::Builder::new().name("logs".to_owned()).spawn(move || write_lines(&rx, target));
+    if spawned.is_ok() {
+        let _ = WriteLogger::init(LevelFilter::Info, cfg, LineQueue::new(tx));
+    }
+}
+
+/// Collects what the logger writes into lines, and passes them on without waiting.
+struct LineQueue {
+    tx: SyncSender<Vec<u8>>,
+    line: Vec<u8>,
+    second: Instant,
+    lines: u64,
+}
+
+impl LineQueue {
+    fn new(tx: SyncSender<Vec<u8>>) -> LineQueue {
+        LineQueue { tx, line: Vec::new(), second: Instant::now(), lines: 0 }
+    }
+
+    fn pass_on(&mut self) {
+        let line = std::mem::take(&mut self.line);
+        if self.second.elapsed() >= Duration::from_secs(1) {
+            self.second = Instant::now();
+            self.lines = 0;
+        }
+        self.lines += 1;
+        if self.lines > LINES_PER_S || self.tx.try_send(line).is_err() {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+impl Write for LineQueue {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(buf);
+        if self.line.ends_with(b"\n") {
+            self.pass_on();
+        }
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes lines for as long as the process runs, many at a time where many wait.
+fn write_lines(rx: &Receiver<Vec<u8>>, mut target: impl Write) {
+    let mut told = 0;
+    while let Ok(first) = rx.recv() {
+        let mut buf = first;
+        while let Ok(line) = rx.try_recv() {
+            buf.extend_from_slice(&line);
+        }
+        let dropped = dropped();
+        if dropped > told {
+            buf.extend_from_slice(format!("event=lines_dropped total={dropped}\n").as_bytes());
+            told = dropped;
+        }
+        // Without an output there is nobody to tell.
+        let _ = target.write_all(&buf).and_then(|()| target.flush());
+    }
+}
