Feed entries that know nothing before all hosts have reported

Cause: after the final fault entries waited for 2.4 s until the new leader had heard every host, though most groups were known to be whole after one.

--- a/crates/admission/tests/floor.rs
+++ b/crates/admission/tests/floor.rs
@@ -73,7 +73,7 @@
 
 fn view(replicas: Vec<Replica>, entries: u16) -> RoutingView {
     let address = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, 8000 + port));
-    RoutingView { replicas, entries: (0..entries).map(address).collect() }
+    RoutingView { replicas, entries: (0..entries).map(address).collect(), is_complete: true }
 }
 
 fn floor(replicas: Vec<Replica>, entries: u16, cold_per_s: f64, now: Instant) -> Floor {
--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader.rs
@@ -321,9 +321,7 @@
             leading.plan_at = now;
             leading.changed = false;
             self.plan(now);
-            if learned {
-                self.publish(now);
-            }
+            self.publish(learned, now);
         }
         let Some(leading) = &mut self.leading else {
             return;
@@ -393,7 +391,7 @@
         }
     }
 
-    fn publish(&mut self, now: Instant) {
+    fn publish(&mut self, is_complete: bool, now: Instant) {
         let Some(leading) = &mut self.leading else {
             return;
         };
@@ -406,9 +404,13 @@
             &leading.registry,
             &self.ledger.domains_out,
             entries,
+            is_complete,
             &self.config.limits,
             now,
         );
+        if !is_complete && view.replicas.is_empty() {
+            return;
+        }
         let old = leading.view.as_ref();
         let same = old.is_some_and(|old| old.same_routes(&view));
         if same && (old == Some(&view) || now < leading.view_at + COLD_STEP) {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -47,6 +47,7 @@
     budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
     directory: Mutex<Vec<SocketAddr>>,
     has_view: AtomicBool,
+    has_complete_view: AtomicBool,
     departure: Mutex<Option<Departure>>,
     served: AtomicU64,
 }
@@ -76,6 +77,7 @@
             budgets: Mutex::default(),
             directory: Mutex::default(),
             has_view: AtomicBool::new(false),
+            has_complete_view: AtomicBool::new(false),
             departure: Mutex::default(),
             served: AtomicU64::new(0),
         }
@@ -125,7 +127,12 @@
         lock(&self.floor).set_manifest(manifest);
     }
 
+    /// Takes a view, unless it is incomplete and a complete one is known.
     pub(crate) fn set_view(&self, view: RoutingView) {
+        if !view.is_complete && self.has_complete_view.load(Ordering::Acquire) {
+            return;
+        }
+        self.has_complete_view.store(view.is_complete, Ordering::Release);
         *lock(&self.directory) = view.entries.clone();
         lock(&self.floor).set_view(view, self.clock.now());
         if lock(&self.table).is_some() {
--- a/crates/groups/src/view.rs
+++ b/crates/groups/src/view.rs
@@ -11,6 +11,7 @@
     registry: &Registry,
     domains_out: &BTreeSet<DomainId>,
     entries: Vec<SocketAddr>,
+    is_complete: bool,
     limits: &Limits,
     now: Instant,
 ) -> RoutingView {
@@ -35,7 +36,7 @@
             && !domains_out.contains(&seen.report.domain)
     });
     replicas.extend(plain.map(|seen| replica_of(seen, now)));
-    RoutingView { replicas, entries }
+    RoutingView { replicas, entries, is_complete }
 }
 
 fn replica_of(seen: &crate::HostSeen, now: Instant) -> Replica {
