--- a/bin/kingcup/src/cmd/mod.rs
+++ b/bin/kingcup/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 pub mod drain;
 pub mod dump;
 pub mod entries;
+pub mod explain;
 pub mod status;
 
 use argh::FromArgs;
@@ -41,5 +42,6 @@
     Drain(drain::Args),
     Dump(dump::Args),
     Entries(entries::Args),
+    Explain(explain::Args),
     Status(status::Args),
 }
--- a/bin/kingcup/src/main.rs
+++ b/bin/kingcup/src/main.rs
@@ -17,6 +17,7 @@
         Command::Drain(args) => cmd::drain::run(&cfg, &args),
         Command::Dump(args) => cmd::dump::run(&cfg, &args),
         Command::Entries(args) => cmd::entries::run(&cfg, &args),
+        Command::Explain(args) => cmd::explain::run(&args),
         Command::Status(args) => cmd::status::run(&cfg, &args),
     });
     error::finish(outcome)
--- a/crates/admission/src/floor.rs
+++ b/crates/admission/src/floor.rs
@@ -40,6 +40,8 @@
 pub struct Choice {
     /// The backend server.
     pub replica: Replica,
+    /// Requests of this entry that run there, this one included.
+    pub running: usize,
     /// Gives its place back.
     pub ticket: Ticket,
 }
@@ -185,7 +187,11 @@
         }
         let work = Work { prompt_tokens: wish.prompt_tokens, sent: now, first_event: None };
         place.work.insert(number, work);
-        Ok(Choice { replica: place.replica.clone(), ticket: Ticket { host, number } })
+        Ok(Choice {
+            replica: place.replica.clone(),
+            running: place.work.len(),
+            ticket: Ticket { host, number },
+        })
     }
 
     /// Counts the work of a request, unless it was counted at an earlier try.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -157,11 +157,12 @@
         };
         let took = self.shared.clock.now().saturating_duration_since(began);
         info!(
-            "event=refused id={id} cause={} ran={} retry_ms={} took_ms={}",
+            "event=refused id={id} cause={} ran={} retry_ms={} took_ms={} view_age_ms={}",
             refusal.word(),
             refusal.verdict().header_value(),
             refusal.retry_after().map_or(0, |after| after.as_millis()),
-            took.as_millis()
+            took.as_millis(),
+            self.shared.view_age_ms()
         );
     }
 
@@ -272,8 +273,21 @@
             answer_tokens: job.ask.answer_tokens,
             avoid: job.avoid.clone(),
         };
-        let refused = match lock(&self.shared.floor).choose(&wish, now) {
-            Ok(choice) => return Ok(choice),
+        let chosen = lock(&self.shared.floor).choose(&wish, now);
+        let refused = match chosen {
+            Ok(choice) => {
+                info!(
+                    "event=placed id={} host={} group={} try={} running={} left_ms={} view_age_ms={}",
+                    job.ask.id,
+                    choice.replica.host,
+                    choice.replica.group.as_ref().map_or("-", |(name, _)| name),
+                    job.tries + 1,
+                    choice.running,
+                    job.deadline.saturating_duration_since(now).as_millis(),
+                    self.shared.view_age_ms()
+                );
+                return Ok(choice);
+            }
             Err(refused) => refused,
         };
         if job.verdict != Verdict::NotRun {
@@ -286,7 +300,7 @@
     }
 
     async fn try_once(&self, job: &Job, choice: Choice) -> Result<Answer, TryFault> {
-        let Choice { replica, ticket } = choice;
+        let Choice { replica, ticket, .. } = choice;
         let held = Held { shared: self.shared.clone(), ticket };
         let now = || self.shared.clock.now();
         let connection = match job.kind {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -46,7 +46,7 @@
     pub(crate) floor: Mutex<Floor>,
     budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
     directory: Mutex<Vec<SocketAddr>>,
-    has_view: AtomicBool,
+    view_at: Mutex<Option<Instant>>,
     has_complete_view: AtomicBool,
     departure: Mutex<Option<Departure>>,
     served: AtomicU64,
@@ -76,7 +76,7 @@
             floor: Mutex::new(Floor::new(domain)),
             budgets: Mutex::default(),
             directory: Mutex::default(),
-            has_view: AtomicBool::new(false),
+            view_at: Mutex::default(),
             has_complete_view: AtomicBool::new(false),
             departure: Mutex::default(),
             served: AtomicU64::new(0),
@@ -95,7 +95,7 @@
 
     /// Whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
-        self.has_view.load(Ordering::Acquire) && !self.is_leaving()
+        lock(&self.view_at).is_some() && !self.is_leaving()
     }
 
     /// Whether the process is about to end.
@@ -136,10 +136,16 @@
         *lock(&self.directory) = view.entries.clone();
         lock(&self.floor).set_view(view, self.clock.now());
         if lock(&self.table).is_some() {
-            self.has_view.store(true, Ordering::Release);
+            *lock(&self.view_at) = Some(self.clock.now());
         }
     }
 
+    /// The time since the last view came, in milliseconds; 0 if none has come.
+    pub(crate) fn view_age_ms(&self) -> u128 {
+        let now = self.clock.now();
+        lock(&self.view_at).map_or(0, |at| now.saturating_duration_since(at).as_millis())
+    }
+
     pub(crate) fn note_served(&self) {
         self.served.fetch_add(1, Ordering::Relaxed);
     }
