Let a member that leaves cut off no work; wait a little for a place of a lost try

A stream that was cut found no place at once and was given up; it now waits for one for up to 0.6 s.

--- a/crates/engine/src/field.rs
+++ b/crates/engine/src/field.rs
@@ -247,7 +247,14 @@
                 return OrderResult::Begun;
             }
             (OrderKind::Open { .. }, MemberState::Open) => OrderResult::Done,
+            (OrderKind::Close { cut: false, .. }, MemberState::Open | MemberState::Closing)
+                if host.busy =>
+            {
+                part.state = MemberState::Closing;
+                OrderResult::Begun
+            }
             (OrderKind::Close { .. }, MemberState::Open | MemberState::Closing) => {
+                host.cuts += usize::from(host.busy);
                 part.state = MemberState::Ready;
                 part.until = None;
                 OrderResult::Begun
@@ -318,6 +325,10 @@
                 self.set_state(id, MemberState::Open, None);
                 self.changed(id);
             }
+            MemberState::Closing if !self.hosts[id].busy => {
+                self.set_state(id, MemberState::Ready, None);
+                self.changed(id);
+            }
             MemberState::Open if due => {
                 self.set_state(id, MemberState::Broken, None);
                 self.changed(id);
--- a/crates/engine/src/host.rs
+++ b/crates/engine/src/host.rs
@@ -35,6 +35,10 @@
     pub reachable: bool,
     /// Whether it has told that it leaves.
     pub leaving: bool,
+    /// Whether it has work, as a head.
+    pub busy: bool,
+    /// How often running work was cut off.
+    pub cuts: usize,
     pub(crate) address: SocketAddr,
     pub(crate) domain: DomainId,
     pub(crate) fabric: FabricId,
@@ -61,6 +65,8 @@
             alive: true,
             reachable: true,
             leaving: false,
+            busy: false,
+            cuts: 0,
             address,
             domain,
             fabric,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -7,6 +7,7 @@
     shared::Shared,
 };
 use admission::{Choice, KeyCheck, Refused, Table, Ticket, Wish};
+use async_io::Timer;
 use base::sync::lock;
 use bytes::Bytes;
 use fleet::{Route, RouteKind};
@@ -37,6 +38,11 @@
 /// Longest wait for the beginning of an answer if another backend server may be tried:
 /// several times what a full engine needs for a long prompt.
 const FIRST_WAIT: Duration = Duration::from_millis(1000);
+/// Longest wait for a place of a request that was lost on its way: about the time in which a
+/// place becomes free in a full system.
+const AWAIT_PLACE: Duration = Duration::from_millis(600);
+/// Pause between two looks for such a place.
+const AWAIT_PLACE_PAUSE: Duration = Duration::from_millis(40);
 /// Headers that concern one connection only.
 const HOP_HEADERS: [HeaderName; 7] = [
     header::CONNECTION,
@@ -219,7 +225,10 @@
             if now >= job.deadline {
                 return Err(Refusal::TimedOut { verdict: job.verdict });
             }
-            let choice = self.choose(job, now)?;
+            let choice = match self.choose(job, now) {
+                Err(Refusal::Lost) if job.kind.may_repeat() => self.await_place(job).await?,
+                choice => choice?,
+            };
             job.tries += 1;
             let left = job.deadline - now;
             let limit = if job.kind.may_repeat() { left.min(FIRST_WAIT) } else { left };
@@ -252,6 +261,20 @@
         }
     }
 
+    /// Waits a little for a place of a request whose first try was lost on its way: giving
+    /// it up would waste what has been done for it.
+    async fn await_place(&self, job: &Job) -> Result<Choice, Refusal> {
+        let end = job.deadline.min(self.shared.clock.now() + AWAIT_PLACE);
+        loop {
+            Timer::after(AWAIT_PLACE_PAUSE).await;
+            let now = self.shared.clock.now();
+            match self.choose(job, now) {
+                Err(Refusal::Lost) if now < end => {}
+                choice => return choice,
+            }
+        }
+    }
+
     /// Whether one more try is allowed after one that failed.
     pub(crate) fn permit_repeat(&self, job: &Job) -> Result<(), Refusal> {
         let safe = job.verdict.permits_retry(job.kind.may_repeat());
--- a/crates/groups/src/planner.rs
+++ b/crates/groups/src/planner.rs
@@ -513,8 +513,7 @@
                 let seen_closed = state == MemberState::Ready
                     && group.close_sent.is_some_and(|at| heard.is_some_and(|heard| heard > at));
                 if !(group.closed || seen_closed) {
-                    let lost = members.iter().any(|member| !matches!(member, Member::In(_)));
-                    let cut = cut || lost;
+                    let cut = cut || self.lacks_member(group, members, input);
                     let kind = OrderKind::Close { group: name.clone(), epoch: group.epoch, cut };
                     let due = group.close_again.is_none_or(|at| at <= input.now);
                     if due && self.order(head, kind, input, orders) {
@@ -534,6 +533,17 @@
         }
     }
 
+    /// Whether a member is lost, so that the head's work can't go on. One that leaves is
+    /// heard no more, but stays while the head has work.
+    fn lacks_member(&self, group: &Group, members: &[Member], input: &PlannerInput<'_>) -> bool {
+        let hosts = input.registry.hosts();
+        group.members.iter().zip(members).any(|(host, member)| match member {
+            Member::In(_) => false,
+            Member::Silent => !hosts.get(host).is_some_and(|seen| seen.left),
+            Member::Dead | Member::Elsewhere => true,
+        })
+    }
+
     fn note_close(&mut self, name: &GroupName, serves: bool, now: Instant) {
         let again = now + self.limits.resend;
         if let Some(group) = self.groups.get_mut(name) {
--- a/crates/groups/tests/lifecycle.rs
+++ b/crates/groups/tests/lifecycle.rs
@@ -91,6 +91,24 @@
     expect_that!(world.field.breaches, is_empty());
 }
 
+#[gtest]
+fn step_member_that_leaves_cuts_off_no_work() {
+    let mut world = World::formed(13);
+    let name = group_of(&world, 4);
+    let members = world.members_of(&name);
+    world.field.host_mut(&members[0]).expect("a host").busy = true;
+    // It says that it ends, is heard no more, and stays while the head has work.
+    world.registry.remove(&members[2]);
+    world.field.host_mut(&members[2]).expect("a host").reachable = false;
+    world.run_ms(8000);
+    let head = &world.field.hosts()[&members[0]];
+    expect_that!(head.cuts, eq(0));
+    expect_true!(head.serves(), "it finishes its work");
+    world.field.host_mut(&members[0]).expect("a host").busy = false;
+    world.run_ms(2000);
+    expect_false!(world.records.contains_key(&name), "the group ends with its work");
+}
+
 #[gtest]
 fn resume_new_leader_keeps_groups_whose_hosts_report_late() {
     let mut world = World::formed(7);
