Wait for room on a full disk instead of ending

Nothing has been answered at that point, so the driver waits as for a slow disk; a partly written record is cut off before the next try.

--- a/crates/store/src/folder.rs
+++ b/crates/store/src/folder.rs
@@ -3,17 +3,21 @@
 use crate::{
     error::StoreError,
     frame::{Frame, Record, decode, encode},
+    full::retry_while_full,
 };
 use replog::{Entry, HardState, NodeId, Restored, Snapshot, Write};
 use std::{
     fs::{self, File, OpenOptions, TryLockError},
     io::{self, Write as _},
     path::{Path, PathBuf},
+    time::Duration,
 };
 
 const IDENTITY_FILE: &str = "identity";
 const LOG_FILE: &str = "log";
 const NEW_LOG_FILE: &str = "log.new";
+/// Pause between two tries to write to a full disk.
+const FULL_PAUSE: Duration = Duration::from_millis(100);
 const LOCK_FILE: &str = "lock";
 
 /// What a data folder held.
@@ -120,7 +124,16 @@
             return Ok(());
         }
         let path = self.folder.join(LOG_FILE);
-        self.log.write_all(&buf).map_err(|e| io_error("write", &path, e))?;
+        let (log, sound_bytes) = (&mut self.log, self.log_bytes);
+        let appended = retry_while_full(FULL_PAUSE, || {
+            let written = log.write_all(&buf);
+            if written.is_err() {
+                // What was written of it must not stand before the next try.
+                log.set_len(sound_bytes)?;
+            }
+            written
+        });
+        appended.map_err(|e| io_error("write", &path, e))?;
         self.log.sync_data().map_err(|e| io_error("sync", &path, e))?;
         self.log_bytes += buf.len() as u64;
         Ok(())
@@ -135,7 +148,8 @@
         }
         let new_path = self.folder.join(NEW_LOG_FILE);
         let path = self.folder.join(LOG_FILE);
-        write_synced(&new_path, &buf)?;
+        retry_while_full(FULL_PAUSE, || write_synced(&new_path, &buf))
+            .map_err(|e| io_error("write", &new_path, e))?;
         fs::rename(&new_path, &path).map_err(|e| io_error("rename", &new_path, e))?;
         sync_folder(&self.folder)?;
         self.log =
@@ -213,7 +227,8 @@
                 return Err(StoreError::Damaged { path, offset: 0, cause });
             }
             let new_path = folder.join("identity.new");
-            write_synced(&new_path, format!("{fresh:016x}\n").as_bytes())?;
+            write_synced(&new_path, format!("{fresh:016x}\n").as_bytes())
+                .map_err(|e| io_error("write", &new_path, e))?;
             fs::rename(&new_path, &path).map_err(|e| io_error("rename", &new_path, e))?;
             sync_folder(folder)?;
             Ok(fresh)
@@ -222,10 +237,10 @@
     }
 }
 
-fn write_synced(path: &Path, bytes: &[u8]) -> Result<(), StoreError> {
-    let mut file = File::create(path).map_err(|e| io_error("create", path, e))?;
-    file.write_all(bytes).map_err(|e| io_error("write", path, e))?;
-    file.sync_all().map_err(|e| io_error("sync", path, e))
+fn write_synced(path: &Path, bytes: &[u8]) -> io::Result<()> {
+    let mut file = File::create(path)?;
+    file.write_all(bytes)?;
+    file.sync_all()
 }
 
 fn sync_folder(folder: &Path) -> Result<(), StoreError> {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -8,6 +8,8 @@
 mod error;
 mod folder;
 mod frame;
+mod full;
 
 pub use error::StoreError;
 pub use folder::{Loaded, Store};
+pub use full::retry_while_full;
