--- a/crates/coordinator/src/driver.rs
+++ b/crates/coordinator/src/driver.rs
@@ -14,7 +14,7 @@
 use async_channel::Sender;
 use base::{
     clock::Clock,
-    limits::{ELECTION_MAX, ELECTION_MIN, HELLO_EVERY, LEADER_LEASE, LOG_HEARTBEAT},
+    limits::{ELECTION_MAX, ELECTION_MIN, LEADER_LEASE, LOG_HEARTBEAT},
 };
 use fastrand::Rng;
 use fleet::{ControlGossip, ControlMessage, GroupChange, LogMessage};
@@ -23,7 +23,6 @@
 use model::ids::ControlId;
 use net::Pool;
 use replog::{Entry, Index, Node, Payload, Role, Term, Timing};
-use serde_json::json;
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
@@ -44,8 +43,6 @@
 /// Silence of a voter after which a process that has caught up takes its vote. Only a
 /// process with a new disk is not a voter, so one is there only if a disk is lost.
 const REPLACE_AFTER: Duration = Duration::from_millis(2000);
-/// Silence after which a control process is no longer called, unless it is a seed.
-const FORGET_PEER: Duration = Duration::from_secs(60);
 
 /// Settings of the driver.
 #[derive(Debug, Clone)]
@@ -85,9 +82,9 @@
     pub(crate) config: Config,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) node: Node,
-    store: Store,
+    pub(crate) store: Store,
     pub(crate) ledger: Ledger,
-    links: Links,
+    pub(crate) links: Links,
     pub(crate) peers: BTreeMap<ControlId, Peer>,
     pub(crate) orders: Arc<dyn Orders>,
     pub(crate) pool: Pool,
@@ -96,7 +93,7 @@
     pending: BTreeMap<Index, Pending>,
     pub(crate) entries: BTreeMap<SessionId, Sender<ControlMessage>>,
     pub(crate) leading: Option<Leading>,
-    gossip_at: Instant,
+    pub(crate) gossip_at: Instant,
 }
 
 impl std::fmt::Debug for Driver {
@@ -347,125 +344,6 @@
         self.node.compact(self.ledger.applied, data);
     }
 
-    /// Introduces this process, and starts the log once all founders are there.
-    fn gossip(&mut self, now: Instant) {
-        if now < self.gossip_at {
-            return;
-        }
-        self.gossip_at = now + HELLO_EVERY;
-        self.forget_peers(now);
-        let gossip = ControlGossip {
-            id: self.node.id(),
-            name: self.config.name.clone(),
-            peer_address: self.config.peer_address,
-            public_address: self.config.public_address,
-            may_found: self.may_found(),
-            known: self.links.addresses(),
-        };
-        self.links.broadcast(&LogMessage::Gossip(gossip));
-        self.found_if_first();
-    }
-
-    fn may_found(&self) -> bool {
-        self.config.may_found && self.node.is_empty()
-    }
-
-    /// The seed with the lowest address starts a new log, once it has heard of all seeds
-    /// that their logs are empty too. All processes have the same seeds at the first start.
-    fn found_if_first(&mut self) {
-        let lowest = self.config.seeds.iter().min() == Some(&self.config.peer_address);
-        if !self.may_found() || !lowest {
-            return;
-        }
-        let mut voters = replog::Voters::from([self.node.id()]);
-        for seed in &self.config.seeds {
-            let founder = |peer: &&Peer| peer.gossip.peer_address == *seed && peer.gossip.may_found;
-            match self.peers.values().find(founder) {
-                Some(peer) => voters.insert(peer.gossip.id),
-                None if *seed == self.config.peer_address => false,
-                None => return,
-            };
-        }
-        info!("event=found voters={}", voters.len());
-        self.node.bootstrap(voters);
-    }
-
-    fn meet(&mut self, gossip: ControlGossip, now: Instant) {
-        let replaced: Vec<ControlId> = self
-            .peers
-            .iter()
-            .filter(|(id, peer)| {
-                peer.gossip.peer_address == gossip.peer_address && **id != gossip.id
-            })
-            .map(|(id, _)| *id)
-            .collect();
-        for id in replaced {
-            info!("event=peer_replaced old={id:016x} new={:016x}", gossip.id);
-            self.peers.remove(&id);
-            self.node.remove_learner(id);
-        }
-        self.link_to(gossip.peer_address);
-        for address in &gossip.known {
-            self.link_to(*address);
-        }
-        self.node.add_learner(gossip.id, now);
-        if !self.peers.contains_key(&gossip.id) {
-            info!("event=peer_met id={:016x} name={}", gossip.id, gossip.name);
-        }
-        self.peers.insert(gossip.id, Peer { gossip, heard: now });
-    }
-
-    fn link_to(&mut self, address: SocketAddr) {
-        if address != self.config.peer_address {
-            self.links.ensure(address);
-        }
-    }
-
-    fn forget_peers(&mut self, now: Instant) {
-        let silent: Vec<(ControlId, SocketAddr)> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| now.saturating_duration_since(peer.heard) > FORGET_PEER)
-            .map(|(id, peer)| (*id, peer.gossip.peer_address))
-            .collect();
-        for (id, address) in silent {
-            self.peers.remove(&id);
-            self.node.remove_learner(id);
-            if !self.config.seeds.contains(&address) {
-                self.links.remove(address);
-            }
-        }
-    }
-
-    fn dump(&self, now: Instant) -> serde_json::Value {
-        let peers: Vec<_> = self
-            .peers
-            .values()
-            .map(|peer| {
-                json!({
-                    "id": format!("{:016x}", peer.gossip.id),
-                    "name": peer.gossip.name,
-                    "address": peer.gossip.peer_address,
-                    "silent_ms": now.saturating_duration_since(peer.heard).as_millis() as u64,
-                })
-            })
-            .collect();
-        json!({
-            "name": self.config.name,
-            "id": format!("{:016x}", self.node.id()),
-            "role": format!("{:?}", self.node.role()),
-            "term": self.node.term(),
-            "commit": self.node.commit(),
-            "voters": self.node.voters().iter().map(|id| format!("{id:016x}")).collect::<Vec<_>>(),
-            "holds_lease": self.node.holds_lease(now),
-            "manifest": self.ledger.number(),
-            "domains_out": self.ledger.domains_out,
-            "peers": peers,
-            "log_bytes": self.store.log_bytes(),
-            "leading": self.leading.as_ref().map(|leading| leading.dump(now)),
-        })
-    }
-
     fn follow_role(&mut self, now: Instant) {
         let current = self.leading.as_ref().map(|leading| leading.since);
         // Before its first record is committed a leader's ledger may lack the last changes.
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -9,6 +9,7 @@
 mod leader;
 mod ledger;
 mod links;
+mod membership;
 mod metrics;
 mod sessions;
 
--- /dev/null
+++ b/crates/groups/src/planner/forming.rs
@@ -0,0 +1,115 @@
+//! Forms groups of hosts that are free, and takes hosts out of groups that have ended.
+
+use super::{Phase, Planner, PlannerInput, group::Group};
+use crate::placement::{Candidate, FreeHost, best_candidate};
+use fleet::{GroupChange, GroupName, GroupRecord, HostOrder, Membership, OrderKind};
+use model::ids::{FabricId, HostId};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Bits of an epoch below the leader's term.
+const EPOCH_BITS: u32 = 20;
+
+impl Planner {
+    /// Takes hosts out of groups that have ended: their heads were out of touch then, or
+    /// are still, and may serve.
+    pub(super) fn clear_strays(&mut self, input: &PlannerInput<'_>, orders: &mut Vec<HostOrder>) {
+        for (host, seen) in input.registry.hosts() {
+            let Some(part) = &seen.report.membership else {
+                continue;
+            };
+            let present = seen.is_present(self.limits.member_silence, input.now);
+            if !present || !self.is_stray(part) {
+                continue;
+            }
+            let (group, epoch) = (part.group.clone(), part.epoch);
+            let kind = match part.serves() {
+                true => OrderKind::Close { group, epoch, cut: true },
+                false => OrderKind::Leave { group, epoch },
+            };
+            self.order(host, kind, input, orders);
+        }
+    }
+
+    /// Whether a host must leave the group that it reports before it joins another one.
+    fn is_stray(&self, part: &Membership) -> bool {
+        let ended = !self.groups.contains_key(&part.group);
+        ended && (part.serves() || !self.closed.contains(&part.group))
+    }
+
+    pub(super) fn free_hosts(&self, input: &PlannerInput<'_>) -> BTreeMap<FabricId, Vec<FreeHost>> {
+        let taken: BTreeSet<&HostId> =
+            self.groups.values().flat_map(|group| &group.members).collect();
+        let mut free: BTreeMap<FabricId, Vec<FreeHost>> = BTreeMap::new();
+        for (host, seen) in input.registry.hosts() {
+            let report = &seen.report;
+            let stray = report.membership.as_ref().is_some_and(|part| self.is_stray(part));
+            let usable = report.service == *input.service
+                && !stray
+                && seen.is_present(self.limits.member_silence, input.now)
+                && !report.leaving
+                && !input.domains_out.contains(&report.domain)
+                && !taken.contains(host)
+                && !self.pending.contains(host)
+                && !self.staging.contains_key(host)
+                && self.backoff.get(host).is_none_or(|until| *until <= input.now);
+            if usable {
+                free.entry(report.fabric.clone()).or_default().push(FreeHost {
+                    host: host.clone(),
+                    last_model: report.loaded.clone(),
+                    staged: report.staged.clone(),
+                });
+            }
+        }
+        free
+    }
+
+    pub(super) fn form(
+        &mut self,
+        input: &PlannerInput<'_>,
+        free: &mut BTreeMap<FabricId, Vec<FreeHost>>,
+    ) -> Vec<GroupChange> {
+        let mut formed = Vec::new();
+        loop {
+            let counts = self.counts();
+            // A join that loads would hold its hosts for long; weights are staged instead.
+            let room = if input.loads_unlimited { usize::MAX } else { 0 };
+            let Some(candidate) = best_candidate(input, free, &counts, room) else {
+                return formed;
+            };
+            if let Some(hosts) = free.get_mut(&candidate.fabric) {
+                hosts.retain(|host| !candidate.hosts.contains(&host.host));
+            }
+            formed.push(self.start_group(candidate, input));
+        }
+    }
+
+    fn start_group(&mut self, candidate: Candidate, input: &PlannerInput<'_>) -> GroupChange {
+        self.formed += 1;
+        let epoch = (self.term << EPOCH_BITS) + self.formed;
+        let name: GroupName = format!("g{epoch}").into();
+        let hosts = input.registry.hosts();
+        let born = |host: &HostId| hosts.get(host).map_or(0, |seen| seen.report.born);
+        let group = Group {
+            epoch,
+            model: candidate.model,
+            lives: candidate.hosts.iter().map(born).collect(),
+            members: candidate.hosts,
+            acked: BTreeSet::new(),
+            phase: Phase::Proposed,
+            deadline: input.now + candidate.time + input.engine.form + self.limits.form_slack,
+            open_asked: None,
+            open_unsure: false,
+            close_sent: None,
+            close_again: None,
+            closed: false,
+            probed: None,
+        };
+        let record = GroupRecord {
+            epoch,
+            model: group.model.clone(),
+            members: group.members.iter().cloned().zip(group.lives.iter().copied()).collect(),
+        };
+        self.groups.insert(name.clone(), group);
+        GroupChange::Formed { name, record }
+    }
+}
