--- a/bin/control/src/main.rs
+++ b/bin/control/src/main.rs
@@ -11,6 +11,6 @@
 
 fn main() {
     let config = config::Config::from_process();
-    base::logs::start();
+    let _logs = base::logs::start();
     process::run_or_exit(config);
 }
--- a/bin/control/src/process.rs
+++ b/bin/control/src/process.rs
@@ -9,13 +9,13 @@
     orders::HttpOrders,
     peers::PeerLinks,
 };
-use base::{clock::SystemClock, metrics::Metrics, settings::exit_usage};
+use base::{clock::SystemClock, logs, metrics::Metrics, settings::exit_usage};
 use http::{Dump, serve_admin};
 use log::{error, info};
 use miette::{IntoDiagnostic, Report};
 use net::{Pool, Stop, bind, start_pool, wait_for_stop_signal};
 use peer::ByteCount;
-use std::{process, sync::Arc, thread, time::Duration};
+use std::{sync::Arc, thread, time::Duration};
 use store::{Loaded, Store};
 
 const EXIT_STORAGE: i32 = 3;
@@ -80,7 +80,7 @@
 fn open_store(config: &Config) -> (Store, Loaded) {
     Store::open(&config.data, fastrand::u64(1..)).unwrap_or_else(|e| {
         error!("event=storage_fault cause=\"{e}\"");
-        process::exit(EXIT_STORAGE)
+        logs::exit(EXIT_STORAGE)
     })
 }
 
@@ -89,7 +89,7 @@
         // After a failed write or sync nothing is known of the file: only a restart,
         // which reads it again, is safe.
         error!("event=storage_fault cause=\"{e}\"");
-        process::exit(EXIT_STORAGE);
+        logs::exit(EXIT_STORAGE);
     }
 }
 
--- a/bin/entry/src/main.rs
+++ b/bin/entry/src/main.rs
@@ -15,6 +15,6 @@
 
 fn main() {
     let config = config::Config::from_process();
-    base::logs::start();
+    let _logs = base::logs::start();
     process::run_or_exit(config);
 }
--- a/bin/fake/src/main.rs
+++ b/bin/fake/src/main.rs
@@ -12,6 +12,6 @@
 
 fn main() {
     let config = config::Config::from_process();
-    base::logs::start();
+    let _logs = base::logs::start();
     process::run_or_exit(config);
 }
--- a/crates/base/src/logs.rs
+++ b/crates/base/src/logs.rs
@@ -19,6 +19,8 @@
 const QUEUE_LINES: usize = 2000;
 /// Most lines a second: some ten for each request of an entry's share of the users' load.
 const LINES_PER_S: u64 = 2000;
+/// Longest wait for the last lines at the end of a process.
+const FLUSH_LIMIT: Duration = Duration::from_millis(300);
 const EXIT_PANIC: i32 = 4;
 
 static DROPPED: AtomicU64 = AtomicU64::new(0);
@@ -26,15 +28,37 @@
 /// Starts logging to standard error at the level `info`.
 ///
 /// A second call in the same process has no effect.
-pub fn start() {
-    start_to(io::stderr());
+pub fn start() -> LogGuard {
+    start_to(io::stderr())
 }
 
 /// Starts logging to standard output at the level `info`.
 ///
 /// A second call in the same process has no effect.
-pub fn start_to_stdout() {
-    start_to(io::stdout());
+pub fn start_to_stdout() -> LogGuard {
+    start_to(io::stdout())
+}
+
+/// Waits until all lines so far are written, for a short time at most.
+pub fn flush() {
+    log::logger().flush();
+}
+
+/// Ends the process with `code` after its last lines are written.
+pub fn exit(code: i32) -> ! {
+    flush();
+    std::process::exit(code)
+}
+
+/// Flushes when it is dropped, at the end of `main`.
+#[derive(Debug)]
+#[must_use = "the last lines are lost without it"]
+pub struct LogGuard(());
+
+impl Drop for LogGuard {
+    fn drop(&mut self) {
+        flush();
+    }
 }
 
 /// Lines that were dropped since the process started.
@@ -53,7 +77,7 @@
     }));
 }
 
-fn start_to(target: impl Write + Send + 'static) {
+fn start_to(target: impl Write + Send + 'static) -> LogGuard {
     let cfg = ConfigBuilder::new()
         .set_time_format_rfc3339()
         .set_target_level(LevelFilter::Off)
@@ -66,18 +90,26 @@
     if spawned.is_ok() {
         let _ = WriteLogger::init(LevelFilter::Info, cfg, LineQueue::new(tx));
     }
+    LogGuard(())
+}
+
+/// What passes to the thread that writes.
+enum Message {
+    Line(Vec<u8>),
+    /// Asks for an answer once all lines before it are written.
+    Flush(SyncSender<()>),
 }
 
 /// Collects what the logger writes into lines, and passes them on without waiting.
 struct LineQueue {
-    tx: SyncSender<Vec<u8>>,
+    tx: SyncSender<Message>,
     line: Vec<u8>,
     second: Instant,
     lines: u64,
 }
 
 impl LineQueue {
-    fn new(tx: SyncSender<Vec<u8>>) -> LineQueue {
+    fn new(tx: SyncSender<Message>) -> LineQueue {
         LineQueue { tx, line: Vec::new(), second: Instant::now(), lines: 0 }
     }
 
@@ -88,7 +120,7 @@
             self.lines = 0;
         }
         self.lines += 1;
-        if self.lines > LINES_PER_S || self.tx.try_send(line).is_err() {
+        if self.lines > LINES_PER_S || self.tx.try_send(Message::Line(line)).is_err() {
             DROPPED.fetch_add(1, Ordering::Relaxed);
         }
     }
@@ -104,17 +136,28 @@
     }
 
     fn flush(&mut self) -> io::Result<()> {
+        let (written, rx) = sync_channel(1);
+        if self.tx.try_send(Message::Flush(written)).is_ok() {
+            // An output that blocks must not keep the process from ending.
+            let _ = rx.recv_timeout(FLUSH_LIMIT);
+        }
         Ok(())
     }
 }
 
 /// Writes lines for as long as the process runs, many at a time where many wait.
-fn write_lines(rx: &Receiver<Vec<u8>>, mut target: impl Write) {
+fn write_lines(rx: &Receiver<Message>, mut target: impl Write) {
     let mut told = 0;
     while let Ok(first) = rx.recv() {
-        let mut buf = first;
-        while let Ok(line) = rx.try_recv() {
-            buf.extend_from_slice(&line);
+        let mut buf = Vec::new();
+        let mut flushed = Vec::new();
+        let mut next = Some(first);
+        while let Some(message) = next {
+            match message {
+                Message::Line(line) => buf.extend_from_slice(&line),
+                Message::Flush(written) => flushed.push(written),
+            }
+            next = rx.try_recv().ok();
         }
         let dropped = dropped();
         if dropped > told {
@@ -123,5 +166,8 @@
         }
         // Without an output there is nobody to tell.
         let _ = target.write_all(&buf).and_then(|()| target.flush());
+        for written in flushed {
+            let _ = written.try_send(());
+        }
     }
 }
