--- a/bin/control/src/driver/mod.rs
+++ b/bin/control/src/driver/mod.rs
@@ -10,10 +10,7 @@
 
 pub use event::{DriverHandle, Event, OperatorCall, OperatorReply};
 
-use crate::{
-    config::Config, entries::SessionId, metrics::ControlMetrics, orders::SendOrder,
-    peers::PeerLinks,
-};
+use crate::{config::Config, entries::SessionId, metrics::ControlMetrics, orders::SendOrder};
 use base::{
     clock::Clock,
     limits::{
@@ -25,7 +22,7 @@
 use leader::Leading;
 use log::{info, warn};
 use model::{ids::ControlId, manifest::Manifest};
-use peer::{ByteCount, ControlHello, PeerMessage};
+use peer::{ByteCount, ControlHello, Links, PeerMessage};
 use publisher::Subscriber;
 use replog::{Entry, Index, Node, Payload, Term, Timing};
 use state::{Command, Reply, State};
@@ -72,7 +69,7 @@
     store: Store,
     state: State,
     manifest: Option<Arc<Manifest>>,
-    links: PeerLinks,
+    links: Links<PeerMessage>,
     peers: BTreeMap<ControlId, Peer>,
     orders: Arc<dyn SendOrder>,
     metrics: ControlMetrics,
@@ -90,7 +87,7 @@
         config: &Config,
         store: Store,
         loaded: Loaded,
-        links: PeerLinks,
+        links: Links<PeerMessage>,
         orders: Arc<dyn SendOrder>,
         metrics: ControlMetrics,
         bytes: Arc<ByteCount>,
--- a/bin/control/src/main.rs
+++ b/bin/control/src/main.rs
@@ -6,7 +6,6 @@
 mod metrics;
 mod operator;
 mod orders;
-mod peers;
 mod process;
 
 fn main() {
--- a/bin/control/src/process.rs
+++ b/bin/control/src/process.rs
@@ -7,14 +7,13 @@
     metrics::ControlMetrics,
     operator,
     orders::HttpOrders,
-    peers::PeerLinks,
 };
 use base::{clock::SystemClock, logs, metrics::Metrics, settings::exit_usage};
 use http::{Dump, serve_admin};
 use log::{error, info};
 use miette::{IntoDiagnostic, Report};
 use net::{Pool, Stop, bind, start_pool, wait_for_stop_signal};
-use peer::ByteCount;
+use peer::{ByteCount, CONTROL_PATH, Links};
 use std::{sync::Arc, thread, time::Duration};
 use store::{Loaded, Store};
 
@@ -48,7 +47,11 @@
         loaded.cut_bytes
     );
 
-    let links = PeerLinks::start(pool, &config, &bytes);
+    let from = config.peer_listen.ip();
+    let mut links = Links::new(pool, from, config.secret.clone(), CONTROL_PATH, bytes.clone());
+    for to in &config.peers {
+        links.ensure(*to);
+    }
     let (handle, events) = DriverHandle::new();
     let orders = Arc::new(HttpOrders::new(pool, &config, handle.clone(), counters.clone()));
     let driver = Driver::new(
--- a/crates/coordinator/src/driver.rs
+++ b/crates/coordinator/src/driver.rs
@@ -8,7 +8,6 @@
     events::{Call, Event, Handle, Reply, SessionId},
     leader::Leading,
     ledger::{Command, Ledger},
-    links::Links,
     metrics::Counters,
 };
 use async_channel::Sender;
@@ -22,6 +21,7 @@
 use log::{info, warn};
 use model::ids::ControlId;
 use net::Pool;
+use peer::Links;
 use replog::{Entry, Index, Node, Payload, Role, Term, Timing};
 use std::{
     collections::BTreeMap,
@@ -84,7 +84,7 @@
     pub(crate) node: Node,
     pub(crate) store: Store,
     pub(crate) ledger: Ledger,
-    pub(crate) links: Links,
+    pub(crate) links: Links<LogMessage>,
     pub(crate) peers: BTreeMap<ControlId, Peer>,
     pub(crate) orders: Arc<dyn Orders>,
     pub(crate) pool: Pool,
@@ -109,7 +109,7 @@
         config: Config,
         store: Store,
         loaded: Loaded,
-        links: Links,
+        links: Links<LogMessage>,
         orders: Arc<dyn Orders>,
         pool: Pool,
         handle: Handle,
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -8,7 +8,6 @@
 mod events;
 mod leader;
 mod ledger;
-mod links;
 mod membership;
 mod metrics;
 mod sessions;
@@ -16,7 +15,6 @@
 pub use driver::{Config, Driver};
 pub use events::{Call, Event, Handle, Reply};
 pub use ledger::{Command, Ledger, StoredManifest};
-pub use links::Links;
 pub use metrics::Counters;
 pub use sessions::Sessions;
 
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod field;
 mod host;
+mod sample;
 
 pub use field::{Breach, Field, FieldPlan};
 pub use host::Host;
+pub use sample::sample_engine;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -7,7 +7,7 @@
 };
 use bytes::Bytes;
 use futures_lite::stream;
-use http::{Body, Connection, full};
+use http::{Body, Connection};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{
     Response,
@@ -85,7 +85,7 @@
     pub(crate) async fn stream(self: Arc<Self>, mut job: Job) -> Result<Response<Body>, Refusal> {
         let answer = self.first_answer(&mut job).await?;
         if !answer.response.status().is_success() {
-            return self.whole_failure(&job, answer).await;
+            return self.whole(&job, answer).await;
         }
         let (mut parts, source) = Source::begin(answer);
         strip_hop_headers(&mut parts.headers);
@@ -102,21 +102,6 @@
         let body = StreamBody::new(events).boxed_unsync();
         Ok(Response::from_parts(parts, body))
     }
-
-    /// Passes a failure of a backend server on, whole.
-    async fn whole_failure(&self, job: &Job, answer: Answer) -> Result<Response<Body>, Refusal> {
-        let left = job.deadline.saturating_duration_since(self.shared.clock.now());
-        let (mut parts, body) = answer.response.into_parts();
-        let bytes = with_timeout(left, http::collect(body, base::limits::ANSWER_MAX)).await;
-        let Ok(Ok(bytes)) = bytes else {
-            return Err(Refusal::Lost);
-        };
-        if !closes(&parts.headers) {
-            self.client.keep(answer.address, answer.connection);
-        }
-        strip_hop_headers(&mut parts.headers);
-        Ok(Response::from_parts(parts, full(bytes)))
-    }
 }
 
 impl Source {
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -52,7 +52,8 @@
         self.whole(job, answer).await.ok()
     }
 
-    async fn whole(&self, job: &Job, answer: Answer) -> Result<Response<Body>, Refusal> {
+    /// Passes an answer on once it is whole.
+    pub(crate) async fn whole(&self, job: &Job, answer: Answer) -> Result<Response<Body>, Refusal> {
         let Answer { response, connection, address, held, .. } = answer;
         let left = job.deadline.saturating_duration_since(self.shared.clock.now());
         let (mut parts, body) = response.into_parts();
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -4,10 +4,12 @@
 //! conversation and a header carries the cluster's secret.
 
 mod frame;
+mod links;
 mod messages;
 mod server;
 mod session;
 
+pub use links::Links;
 pub use messages::{
     CONTROL_PATH, ControlHello, ControlToEntry, ENTRY_PATH, EntryHello, EntryToControl,
     PeerMessage, SLOT_PATH,
--- a/crates/coordinator/src/links.rs
+++ b/crates/peer/src/links.rs
@@ -1,11 +1,11 @@
-//! Links to the other control processes, made as they become known.
+//! Links on which a process sends messages to others of its kind.
 
+use crate::session::{ByteCount, Session, open};
 use async_channel::{Receiver, Sender, bounded};
 use async_io::Timer;
 use base::secret::Secret;
-use fleet::{LOG_SESSION_PATH, LogMessage};
 use net::Pool;
-use peer::{ByteCount, Session, open};
+use serde::{Serialize, de::DeserializeOwned};
 use std::{
     collections::BTreeMap,
     net::{IpAddr, SocketAddr},
@@ -13,37 +13,47 @@
     time::Duration,
 };
 
+/// Messages that may wait on a link.
 const QUEUE: usize = 1024;
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
 
-/// Sends messages to other control processes; what can't be sent now is dropped, as the
-/// protocol of the log allows.
+/// Sends messages to other processes; what can't be sent now is dropped, as a protocol that
+/// repeats what matters allows.
 #[derive(Debug)]
-pub struct Links {
+pub struct Links<M> {
     pool: Pool,
     from: IpAddr,
     secret: Secret,
+    path: &'static str,
     bytes: Arc<ByteCount>,
-    queues: BTreeMap<SocketAddr, Sender<LogMessage>>,
+    queues: BTreeMap<SocketAddr, Sender<M>>,
 }
 
-struct Link {
+struct Link<M> {
     pool: Pool,
     from: IpAddr,
     to: SocketAddr,
     secret: Secret,
+    path: &'static str,
     bytes: Arc<ByteCount>,
-    queue: Receiver<LogMessage>,
+    queue: Receiver<M>,
 }
 
-impl Links {
-    /// Links that start at the address `from`; there are none yet.
-    pub fn new(pool: Pool, from: IpAddr, secret: Secret, bytes: Arc<ByteCount>) -> Links {
-        Links { pool, from, secret, bytes, queues: BTreeMap::new() }
+impl<M: Clone + Serialize + DeserializeOwned + Send + 'static> Links<M> {
+    /// Links that start at the address `from`, for conversations of the kind `path`; there
+    /// are none yet.
+    pub fn new(
+        pool: Pool,
+        from: IpAddr,
+        secret: Secret,
+        path: &'static str,
+        bytes: Arc<ByteCount>,
+    ) -> Links<M> {
+        Links { pool, from, secret, path, bytes, queues: BTreeMap::new() }
     }
 
     /// Starts a link, unless there is one.
-    pub(crate) fn ensure(&mut self, to: SocketAddr) {
+    pub fn ensure(&mut self, to: SocketAddr) {
         if self.queues.contains_key(&to) {
             return;
         }
@@ -53,6 +63,7 @@
             from: self.from,
             to,
             secret: self.secret.clone(),
+            path: self.path,
             bytes: self.bytes.clone(),
             queue,
         };
@@ -61,37 +72,46 @@
     }
 
     /// Ends a link.
-    pub(crate) fn remove(&mut self, to: SocketAddr) {
+    pub fn remove(&mut self, to: SocketAddr) {
         if let Some(queue) = self.queues.remove(&to) {
             queue.close();
         }
     }
 
     /// Where the links go.
-    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+    pub fn addresses(&self) -> Vec<SocketAddr> {
         self.queues.keys().copied().collect()
     }
 
+    /// The number of links.
+    pub fn len(&self) -> usize {
+        self.queues.len()
+    }
+
+    /// Whether there is no link.
+    pub fn is_empty(&self) -> bool {
+        self.queues.is_empty()
+    }
+
     /// Sends a message to the process at `to`.
-    pub(crate) fn send(&self, to: SocketAddr, message: LogMessage) {
+    pub fn send(&self, to: SocketAddr, message: M) {
         if let Some(queue) = self.queues.get(&to) {
             let _ = queue.try_send(message);
         }
     }
 
     /// Sends a message to all.
-    pub(crate) fn broadcast(&self, message: &LogMessage) {
+    pub fn broadcast(&self, message: &M) {
         for queue in self.queues.values() {
             let _ = queue.try_send(message.clone());
         }
     }
 }
 
-impl Link {
+impl<M: Serialize + DeserializeOwned + Send + 'static> Link<M> {
     async fn run(self) {
         while !self.queue.is_closed() {
-            let opened =
-                open(self.pool, Some(self.from), self.to, &self.secret, LOG_SESSION_PATH).await;
+            let opened = open(self.pool, Some(self.from), self.to, &self.secret, self.path).await;
             match opened {
                 Ok(raw) => {
                     log::info!("event=link_up to={}", self.to);
@@ -106,7 +126,7 @@
         }
     }
 
-    async fn forward(&self, session: Session<LogMessage, LogMessage>) {
+    async fn forward(&self, session: Session<M, M>) {
         while let Ok(message) = self.queue.recv().await {
             if session.tx.send(message).await.is_err() {
                 return;
