Count all entries that may send when a cold start's bound is divided

Found by reading: after a restart of all entries the first view names one, which alone would divide what a cold head bears; the others take it too a moment later.

--- a/crates/admission/src/floor.rs
+++ b/crates/admission/src/floor.rs
@@ -107,7 +107,7 @@
 
     /// Takes a new view.
     pub fn set_view(&mut self, view: RoutingView, now: Instant) {
-        self.entries = view.entries.len().max(1);
+        self.entries = view.senders.max(view.entries.len()).max(1);
         let named: BTreeSet<HostId> = view.replicas.iter().map(|r| r.host.clone()).collect();
         self.places.retain(|host, _| named.contains(host));
         for replica in view.replicas {
--- a/crates/admission/tests/floor.rs
+++ b/crates/admission/tests/floor.rs
@@ -47,7 +47,12 @@
 
 fn view(replicas: Vec<Replica>, entries: u16) -> RoutingView {
     let address = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, 8000 + port));
-    RoutingView { replicas, entries: (0..entries).map(address).collect(), is_complete: true }
+    RoutingView {
+        replicas,
+        entries: (0..entries).map(address).collect(),
+        senders: 0,
+        is_complete: true,
+    }
 }
 
 fn floor(replicas: Vec<Replica>, entries: u16, cold_per_s: f64, now: Instant) -> Floor {
@@ -139,6 +144,18 @@
     expect_true!(floor.choose(&wish(&[]), later).is_ok());
 }
 
+#[gtest]
+fn choose_cold_share_counts_entries_that_take_no_callers_yet() {
+    let now = Instant::now();
+    let mut cold = replica("a", "near", Some(("g1", "large")));
+    cold.cold = Duration::from_secs(3);
+    let mut floor = floor(Vec::new(), 1, 12.0, now);
+    // After a restart of all of them only the first has told that it is ready.
+    floor.set_view(RoutingView { senders: 4, ..view(vec![cold], 1) }, now);
+    let taken = (0..100).take_while(|_| floor.choose(&wish(&[]), now).is_ok()).count();
+    expect_that!(taken, eq(3));
+}
+
 #[gtest]
 fn choose_refused_callers_come_back_apart() {
     let now = Instant::now();
--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader.rs
@@ -10,7 +10,9 @@
     ControlMessage, EntryMessage, EntryStatus, GroupName, HostReport, Manifest, OrderKind,
     RoutingView,
 };
-use groups::{OrderOutcome, OrderResult, Phase, Planner, PlannerInput, Registry, routing_view};
+use groups::{
+    EntriesSeen, OrderOutcome, OrderResult, Phase, Planner, PlannerInput, Registry, routing_view,
+};
 use log::info;
 use model::ids::{HostId, ServiceId};
 use serde_json::json;
@@ -399,6 +401,7 @@
         let mut entries: Vec<_> = entries.map(|(status, _)| status.address).collect();
         entries.sort_unstable();
         entries.dedup();
+        let entries = EntriesSeen { accepting: entries, senders: leading.entries.len() };
         let view = routing_view(
             &leading.planner,
             &leading.registry,
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -12,6 +12,8 @@
     pub replicas: Vec<Replica>,
     /// Addresses of entries that take callers.
     pub entries: Vec<SocketAddr>,
+    /// Entries that may send requests, those that take no callers now included.
+    pub senders: usize,
     /// Whether all hosts have had the time to report to this leader. A view that is not
     /// complete serves an entry that knows nothing; others keep what they have.
     pub is_complete: bool,
@@ -27,6 +29,7 @@
                 && a.cold.is_zero() == b.cold.is_zero()
         };
         self.entries == other.entries
+            && self.senders == other.senders
             && self.is_complete == other.is_complete
             && self.replicas.len() == other.replicas.len()
             && self.replicas.iter().zip(&other.replicas).all(same)
--- a/crates/groups/src/view.rs
+++ b/crates/groups/src/view.rs
@@ -5,12 +5,21 @@
 use model::ids::DomainId;
 use std::{collections::BTreeSet, net::SocketAddr, time::Instant};
 
+/// The entries as the leader sees them.
+#[derive(Debug, Default)]
+pub struct EntriesSeen {
+    /// Addresses of those that take callers.
+    pub accepting: Vec<SocketAddr>,
+    /// The number of those that may send requests.
+    pub senders: usize,
+}
+
 /// What entries may send requests to.
 pub fn routing_view(
     planner: &Planner,
     registry: &Registry,
     domains_out: &BTreeSet<DomainId>,
-    entries: Vec<SocketAddr>,
+    entries: EntriesSeen,
     is_complete: bool,
     limits: &Limits,
     now: Instant,
@@ -36,7 +45,8 @@
             && !domains_out.contains(&seen.report.domain)
     });
     replicas.extend(plain.map(|seen| replica_of(seen, now)));
-    RoutingView { replicas, entries, is_complete }
+    let EntriesSeen { accepting, senders } = entries;
+    RoutingView { replicas, entries: accepting, senders, is_complete }
 }
 
 fn replica_of(seen: &crate::HostSeen, now: Instant) -> Replica {
