--- a/crates/admission/src/floor.rs
+++ b/crates/admission/src/backends.rs
@@ -22,7 +22,7 @@
 
 /// What a request needs.
 #[derive(Debug, Clone)]
-pub struct Wish {
+pub struct Needs {
     /// The service.
     pub service: ServiceId,
     /// The model, for a service with engines.
@@ -83,7 +83,7 @@
 
 /// The backend servers that an entry may use.
 #[derive(Debug, Default)]
-pub struct Floor {
+pub struct Backends {
     manifest: Option<Arc<Manifest>>,
     places: BTreeMap<HostId, Place>,
     /// Entries that share the backend servers, this one included.
@@ -94,10 +94,10 @@
     demand: Demand,
 }
 
-impl Floor {
-    /// An entry's floor; `domain` is its own failure domain.
-    pub fn new(domain: DomainId) -> Floor {
-        Floor { entries: 1, domain, ..Floor::default() }
+impl Backends {
+    /// The backend servers of an entry; `domain` is its own failure domain.
+    pub fn new(domain: DomainId) -> Backends {
+        Backends { entries: 1, domain, ..Backends::default() }
     }
 
     /// Takes a new manifest.
@@ -138,20 +138,20 @@
     /// # Errors
     ///
     /// Fails if none can take the request now.
-    pub fn choose(&mut self, wish: &Wish, now: Instant) -> Result<Choice, Refused> {
+    pub fn choose(&mut self, needs: &Needs, now: Instant) -> Result<Choice, Refused> {
         let Some(manifest) = self.manifest.clone() else {
             return Err(Refused::Nobody);
         };
-        let Some(service) = manifest.service(&wish.service) else {
+        let Some(service) = manifest.service(&needs.service) else {
             return Err(Refused::Nobody);
         };
-        self.note_demand(wish, service.engine.as_ref(), now);
+        self.note_demand(needs, service.engine.as_ref(), now);
         let cold_share = service.cold.per_s / self.entries as f64;
         let mut offered = false;
         let mut best: Option<((f64, u64), HostId)> = None;
         let entries = self.entries;
         for place in self.places.values_mut() {
-            if !place.offers(wish) {
+            if !place.offers(needs) {
                 continue;
             }
             offered = true;
@@ -185,7 +185,7 @@
         if place.cold_until > now {
             place.cold.note(now);
         }
-        let work = Work { prompt_tokens: wish.prompt_tokens, sent: now, first_event: None };
+        let work = Work { prompt_tokens: needs.prompt_tokens, sent: now, first_event: None };
         place.work.insert(number, work);
         Ok(Choice {
             replica: place.replica.clone(),
@@ -195,14 +195,14 @@
     }
 
     /// Counts the work of a request, unless it was counted at an earlier try.
-    fn note_demand(&mut self, wish: &Wish, engine: Option<&Engine>, now: Instant) {
-        let (Some(engine), Some(name)) = (engine, &wish.model) else {
+    fn note_demand(&mut self, needs: &Needs, engine: Option<&Engine>, now: Instant) {
+        let (Some(engine), Some(name)) = (engine, &needs.model) else {
             return;
         };
         if let Some(model) = engine.model(name)
-            && wish.avoid.is_empty()
+            && needs.avoid.is_empty()
         {
-            let work = engine.group_seconds(model, wish.prompt_tokens, wish.answer_tokens);
+            let work = engine.group_seconds(model, needs.prompt_tokens, needs.answer_tokens);
             self.demand.add(name, work, now);
         }
     }
@@ -292,10 +292,10 @@
 const FAR_LOAD: f64 = 0.5;
 
 impl Place {
-    fn offers(&self, wish: &Wish) -> bool {
-        self.replica.service == wish.service
-            && !wish.avoid.contains(&self.replica.host)
-            && match (&self.replica.group, &wish.model) {
+    fn offers(&self, needs: &Needs) -> bool {
+        self.replica.service == needs.service
+            && !needs.avoid.contains(&self.replica.host)
+            && match (&self.replica.group, &needs.model) {
                 (Some((_, model)), Some(wanted)) => model == wanted,
                 (None, _) => true,
                 (Some(_), None) => true,
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -2,14 +2,14 @@
 //!
 //! The crate does no I/O and reads no clock.
 
+mod backends;
 mod budget;
 mod cold;
 mod demand;
 mod departure;
-mod floor;
 mod table;
 
+pub use backends::{Backends, Choice, Needs, Refused, Ticket};
 pub use budget::RetryBudget;
 pub use departure::Departure;
-pub use floor::{Choice, Floor, Refused, Ticket, Wish};
 pub use table::{KeyCheck, Table};
--- a/crates/admission/tests/floor.rs
+++ b/crates/admission/tests/backends.rs
@@ -1,6 +1,6 @@
 //! The choice of a backend server.
 
-use admission::{Floor, Refused, Wish};
+use admission::{Backends, Needs, Refused};
 use engine::sample_engine;
 use fleet::{CallerLimits, ColdLimit, Manifest, Replica, RoutingView, Service};
 use googletest::prelude::*;
@@ -55,15 +55,15 @@
     }
 }
 
-fn floor(replicas: Vec<Replica>, entries: u16, cold_per_s: f64, now: Instant) -> Floor {
-    let mut floor = Floor::new("near".into());
-    floor.set_manifest(manifest(cold_per_s));
-    floor.set_view(view(replicas, entries), now);
-    floor
+fn backends(replicas: Vec<Replica>, entries: u16, cold_per_s: f64, now: Instant) -> Backends {
+    let mut backends = Backends::new("near".into());
+    backends.set_manifest(manifest(cold_per_s));
+    backends.set_view(view(replicas, entries), now);
+    backends
 }
 
-fn wish(avoid: &[&str]) -> Wish {
-    Wish {
+fn needs(avoid: &[&str]) -> Needs {
+    Needs {
         service: "engines".into(),
         model: Some("large".into()),
         prompt_tokens: 1000,
@@ -75,20 +75,20 @@
 #[gtest]
 fn choose_places_are_shared_by_all_entries() {
     let now = Instant::now();
-    let mut floor = floor(vec![replica("a", "near", Some(("g1", "large")))], 4, 0.0, now);
-    let taken = (0..100).take_while(|_| floor.choose(&wish(&[]), now).is_ok()).count();
+    let mut backends = backends(vec![replica("a", "near", Some(("g1", "large")))], 4, 0.0, now);
+    let taken = (0..100).take_while(|_| backends.choose(&needs(&[]), now).is_ok()).count();
     expect_that!(taken, eq(SLOTS.div_ceil(4) as usize));
-    expect_that!(floor.choose(&wish(&[]), now), err(matches_pattern!(Refused::Full(_))));
+    expect_that!(backends.choose(&needs(&[]), now), err(matches_pattern!(Refused::Full(_))));
 }
 
 #[gtest]
 fn choose_place_is_given_back() {
     let now = Instant::now();
-    let mut floor = floor(vec![replica("a", "near", Some(("g1", "large")))], 26, 0.0, now);
-    let choice = floor.choose(&wish(&[]), now).expect("a place");
-    expect_true!(floor.choose(&wish(&[]), now).is_err());
-    floor.finish(&choice.ticket);
-    expect_true!(floor.choose(&wish(&[]), now).is_ok());
+    let mut backends = backends(vec![replica("a", "near", Some(("g1", "large")))], 26, 0.0, now);
+    let choice = backends.choose(&needs(&[]), now).expect("a place");
+    expect_true!(backends.choose(&needs(&[]), now).is_err());
+    backends.finish(&choice.ticket);
+    expect_true!(backends.choose(&needs(&[]), now).is_ok());
 }
 
 #[gtest]
@@ -99,11 +99,11 @@
         replica("b", "near", Some(("g2", "large"))),
         replica("c", "near", Some(("g3", "other"))),
     ];
-    let mut floor = floor(groups, 4, 0.0, now);
+    let mut backends = backends(groups, 4, 0.0, now);
     for _ in 0..8 {
-        floor.choose(&wish(&[]), now).expect("a place");
+        backends.choose(&needs(&[]), now).expect("a place");
     }
-    let work: Vec<(String, usize)> = floor.work().map(|(h, n)| (h.to_string(), n)).collect();
+    let work: Vec<(String, usize)> = backends.work().map(|(h, n)| (h.to_string(), n)).collect();
     expect_that!(
         work,
         elements_are![eq(&("a".to_owned(), 4)), eq(&("b".to_owned(), 4)), eq(&("c".to_owned(), 0))]
@@ -117,19 +117,19 @@
         replica("a", "near", Some(("g1", "large"))),
         replica("b", "near", Some(("g2", "large"))),
     ];
-    let mut floor = floor(groups, 1, 0.0, now);
-    floor.unreachable(&"b".into(), now);
-    expect_that!(&*floor.choose(&wish(&[]), now).expect("a place").replica.host, eq("a"));
-    expect_that!(floor.choose(&wish(&["a"]), now), err(matches_pattern!(Refused::Full(_))));
+    let mut backends = backends(groups, 1, 0.0, now);
+    backends.unreachable(&"b".into(), now);
+    expect_that!(&*backends.choose(&needs(&[]), now).expect("a place").replica.host, eq("a"));
+    expect_that!(backends.choose(&needs(&["a"]), now), err(matches_pattern!(Refused::Full(_))));
     let later = now + Duration::from_secs(2);
-    expect_that!(&*floor.choose(&wish(&["a"]), later).expect("a place").replica.host, eq("b"));
+    expect_that!(&*backends.choose(&needs(&["a"]), later).expect("a place").replica.host, eq("b"));
 }
 
 #[gtest]
 fn choose_unknown_model_is_offered_by_nobody() {
     let now = Instant::now();
-    let mut floor = floor(vec![replica("a", "near", Some(("g1", "other")))], 1, 0.0, now);
-    expect_that!(floor.choose(&wish(&[]), now), err(eq(&Refused::Nobody)));
+    let mut backends = backends(vec![replica("a", "near", Some(("g1", "other")))], 1, 0.0, now);
+    expect_that!(backends.choose(&needs(&[]), now), err(eq(&Refused::Nobody)));
 }
 
 #[gtest]
@@ -137,11 +137,11 @@
     let now = Instant::now();
     let mut cold = replica("a", "near", Some(("g1", "large")));
     cold.cold = Duration::from_secs(3);
-    let mut floor = floor(vec![cold], 4, 12.0, now);
-    let taken = (0..100).take_while(|_| floor.choose(&wish(&[]), now).is_ok()).count();
+    let mut backends = backends(vec![cold], 4, 12.0, now);
+    let taken = (0..100).take_while(|_| backends.choose(&needs(&[]), now).is_ok()).count();
     expect_that!(taken, eq(3), "a fourth of 12 a second");
     let later = now + Duration::from_millis(1100);
-    expect_true!(floor.choose(&wish(&[]), later).is_ok());
+    expect_true!(backends.choose(&needs(&[]), later).is_ok());
 }
 
 #[gtest]
@@ -149,20 +149,20 @@
     let now = Instant::now();
     let mut cold = replica("a", "near", Some(("g1", "large")));
     cold.cold = Duration::from_secs(3);
-    let mut floor = floor(Vec::new(), 1, 12.0, now);
+    let mut backends = backends(Vec::new(), 1, 12.0, now);
     // After a restart of all of them only the first has told that it is ready.
-    floor.set_view(RoutingView { senders: 4, ..view(vec![cold], 1) }, now);
-    let taken = (0..100).take_while(|_| floor.choose(&wish(&[]), now).is_ok()).count();
+    backends.set_view(RoutingView { senders: 4, ..view(vec![cold], 1) }, now);
+    let taken = (0..100).take_while(|_| backends.choose(&needs(&[]), now).is_ok()).count();
     expect_that!(taken, eq(3));
 }
 
 #[gtest]
 fn choose_refused_callers_come_back_apart() {
     let now = Instant::now();
-    let mut floor = floor(vec![replica("a", "near", Some(("g1", "large")))], 26, 0.0, now);
-    floor.choose(&wish(&[]), now).expect("a place");
+    let mut backends = backends(vec![replica("a", "near", Some(("g1", "large")))], 26, 0.0, now);
+    backends.choose(&needs(&[]), now).expect("a place");
     let mut waits: Vec<Duration> = (0..10)
-        .filter_map(|_| match floor.choose(&wish(&[]), now) {
+        .filter_map(|_| match backends.choose(&needs(&[]), now) {
             Err(Refused::Full(after)) => Some(after),
             _ => None,
         })
@@ -175,34 +175,34 @@
 #[gtest]
 fn stalled_group_with_old_work_and_no_event() {
     let now = Instant::now();
-    let mut floor = floor(vec![replica("a", "near", Some(("g1", "large")))], 1, 0.0, now);
-    let choice = floor.choose(&wish(&[]), now).expect("a place");
+    let mut backends = backends(vec![replica("a", "near", Some(("g1", "large")))], 1, 0.0, now);
+    let choice = backends.choose(&needs(&[]), now).expect("a place");
     let after = Duration::from_millis(400);
-    expect_that!(floor.stalled(after, now + Duration::from_millis(300)), is_empty());
-    expect_that!(floor.stalled(after, now + Duration::from_millis(500)), len(eq(1)));
-    floor.progress(&choice.ticket, now + Duration::from_millis(450));
-    expect_that!(floor.stalled(after, now + Duration::from_millis(500)), is_empty());
-    expect_that!(floor.alive(after, now + Duration::from_millis(500)), len(eq(1)));
+    expect_that!(backends.stalled(after, now + Duration::from_millis(300)), is_empty());
+    expect_that!(backends.stalled(after, now + Duration::from_millis(500)), len(eq(1)));
+    backends.progress(&choice.ticket, now + Duration::from_millis(450));
+    expect_that!(backends.stalled(after, now + Duration::from_millis(500)), is_empty());
+    expect_that!(backends.alive(after, now + Duration::from_millis(500)), len(eq(1)));
 }
 
 #[gtest]
 fn demand_counts_a_request_once() {
     let now = Instant::now();
-    let mut floor = floor(vec![replica("a", "near", Some(("g1", "large")))], 1, 0.0, now);
-    floor.choose(&wish(&[]), now).expect("a place");
-    let once = floor.demand(now);
-    let _ = floor.choose(&wish(&["a"]), now);
-    expect_that!(floor.demand(now), eq(&once));
+    let mut backends = backends(vec![replica("a", "near", Some(("g1", "large")))], 1, 0.0, now);
+    backends.choose(&needs(&[]), now).expect("a place");
+    let once = backends.demand(now);
+    let _ = backends.choose(&needs(&["a"]), now);
+    expect_that!(backends.demand(now), eq(&once));
 }
 
 #[gtest]
 fn set_view_keeps_work_of_groups_that_stay() {
     let now = Instant::now();
     let group = replica("a", "near", Some(("g1", "large")));
-    let mut floor = floor(vec![group.clone()], 26, 0.0, now);
-    floor.choose(&wish(&[]), now).expect("a place");
-    floor.set_view(view(vec![group], 26), now);
-    expect_true!(floor.choose(&wish(&[]), now).is_err());
-    floor.set_view(view(vec![replica("a", "near", Some(("g2", "large")))], 26), now);
-    expect_true!(floor.choose(&wish(&[]), now).is_ok(), "a new group has no work yet");
+    let mut backends = backends(vec![group.clone()], 26, 0.0, now);
+    backends.choose(&needs(&[]), now).expect("a place");
+    backends.set_view(view(vec![group], 26), now);
+    expect_true!(backends.choose(&needs(&[]), now).is_err());
+    backends.set_view(view(vec![replica("a", "near", Some(("g2", "large")))], 26), now);
+    expect_true!(backends.choose(&needs(&[]), now).is_ok(), "a new group has no work yet");
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -6,7 +6,7 @@
     refusal::Refusal,
     shared::Shared,
 };
-use admission::{Choice, KeyCheck, Refused, Table, Ticket, Wish};
+use admission::{Choice, KeyCheck, Needs, Refused, Table, Ticket};
 use async_io::Timer;
 use base::sync::lock;
 use bytes::Bytes;
@@ -95,13 +95,13 @@
 
 impl Held {
     pub(crate) fn progress(&self) {
-        lock(&self.shared.floor).progress(&self.ticket, self.shared.clock.now());
+        lock(&self.shared.backends).progress(&self.ticket, self.shared.clock.now());
     }
 }
 
 impl Drop for Held {
     fn drop(&mut self) {
-        lock(&self.shared.floor).finish(&self.ticket);
+        lock(&self.shared.backends).finish(&self.ticket);
     }
 }
 
@@ -289,14 +289,14 @@
     }
 
     fn choose(&self, job: &Job, now: Instant) -> Result<Choice, Refusal> {
-        let wish = Wish {
+        let needs = Needs {
             service: job.service.clone(),
             model: job.ask.model.clone(),
             prompt_tokens: job.ask.prompt_tokens,
             answer_tokens: job.ask.answer_tokens,
             avoid: job.avoid.clone(),
         };
-        let chosen = lock(&self.shared.floor).choose(&wish, now);
+        let chosen = lock(&self.shared.backends).choose(&needs, now);
         let refused = match chosen {
             Ok(choice) => {
                 info!(
@@ -334,7 +334,7 @@
         let mut connection = match connection {
             Ok(connection) => connection,
             Err(e) => {
-                lock(&self.shared.floor).unreachable(&replica.host, now());
+                lock(&self.shared.backends).unreachable(&replica.host, now());
                 return Err(TryFault { verdict: Verdict::NotRun, cause: e.to_string().into() });
             }
         };
@@ -366,13 +366,13 @@
                 Err(TryFault { verdict: Verdict::MayHaveRun, cause: "foreign answer".into() })
             }
             AnswerKind::NotRun => {
-                lock(&self.shared.floor).full(&replica.host, now());
+                lock(&self.shared.backends).full(&replica.host, now());
                 let cause = format!("not run, status {}", response.status().as_u16());
                 self.recycle(response, connection, replica.address).await;
                 Err(TryFault { verdict: Verdict::NotRun, cause: cause.into() })
             }
             AnswerKind::WrongServer => {
-                lock(&self.shared.floor).unreachable(&replica.host, now());
+                lock(&self.shared.backends).unreachable(&replica.host, now());
                 Err(TryFault { verdict: Verdict::NotRun, cause: "wrong server".into() })
             }
         }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,6 +1,6 @@
 //! What the tasks of an entry share.
 
-use admission::{Departure, Floor, RetryBudget, Table};
+use admission::{Backends, Departure, RetryBudget, Table};
 use base::{clock::Clock, sync::lock};
 use fleet::{EntryStatus, Manifest, RoutingView};
 use model::ids::{DomainId, EntryId, ServiceId};
@@ -43,7 +43,7 @@
     pub(crate) clock: Arc<dyn Clock>,
     bounds: Bounds,
     table: Mutex<Option<Arc<Table>>>,
-    pub(crate) floor: Mutex<Floor>,
+    pub(crate) backends: Mutex<Backends>,
     budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
     directory: Mutex<Vec<SocketAddr>>,
     view_at: Mutex<Option<Instant>>,
@@ -73,7 +73,7 @@
             clock,
             bounds,
             table: Mutex::default(),
-            floor: Mutex::new(Floor::new(domain)),
+            backends: Mutex::new(Backends::new(domain)),
             budgets: Mutex::default(),
             directory: Mutex::default(),
             view_at: Mutex::default(),
@@ -124,7 +124,7 @@
         log::info!("event=manifest number={} before={known}", manifest.number);
         *table = Some(Arc::new(Table::new(manifest.clone())));
         drop(table);
-        lock(&self.floor).set_manifest(manifest);
+        lock(&self.backends).set_manifest(manifest);
     }
 
     /// Takes a view, unless it is incomplete and a complete one is known.
@@ -134,7 +134,7 @@
         }
         self.has_complete_view.store(view.is_complete, Ordering::Release);
         *lock(&self.directory) = view.entries.clone();
-        lock(&self.floor).set_view(view, self.clock.now());
+        lock(&self.backends).set_view(view, self.clock.now());
         if lock(&self.table).is_some() {
             *lock(&self.view_at) = Some(self.clock.now());
         }
@@ -152,15 +152,15 @@
 
     pub(crate) fn status(&self) -> EntryStatus {
         let now = self.clock.now();
-        let mut floor = lock(&self.floor);
+        let mut backends = lock(&self.backends);
         EntryStatus {
-            demand: floor.demand(now),
+            demand: backends.demand(now),
             entry: self.name.clone(),
             address: self.address,
             accepts: self.is_ready(),
             served: self.served.load(Ordering::Relaxed),
-            alive: floor.alive(ALIVE_WITHIN, now),
-            stalled: floor.stalled(STALLED_AFTER, now),
+            alive: backends.alive(ALIVE_WITHIN, now),
+            stalled: backends.stalled(STALLED_AFTER, now),
         }
     }
 
