Divide the places of backend servers by what each entry is asked

Entries report the requests a second that callers ask for, refused ones included (average over 0.6 s); the leader divides all places by it, a fifth of them evenly, and tells an entry its part when it has changed by 4%. Cold starts and repeats keep their even parts: rules bind those.

--- a/crates/admission/src/backends.rs
+++ b/crates/admission/src/backends.rs
@@ -88,6 +88,8 @@
     places: BTreeMap<HostId, Place>,
     /// Entries that share the backend servers, this one included.
     entries: usize,
+    /// This entry's part of the places, if control has told it.
+    share: Option<f64>,
     domain: DomainId,
     next: u64,
     refused: u32,
@@ -105,6 +107,11 @@
         self.manifest = Some(manifest);
     }
 
+    /// Takes this entry's part of the places at the backend servers, between 0 and 1.
+    pub fn set_share(&mut self, part: f64) {
+        self.share = Some(part);
+    }
+
     /// Takes a new view.
     pub fn set_view(&mut self, view: RoutingView, now: Instant) {
         self.entries = view.senders.max(view.entries.len()).max(1);
@@ -149,7 +156,7 @@
         let cold_share = service.cold.per_s / self.entries as f64;
         let mut offered = false;
         let mut best: Option<((f64, u64), HostId)> = None;
-        let entries = self.entries;
+        let share = self.share.unwrap_or(1.0 / self.entries as f64);
         for place in self.places.values_mut() {
             if !place.offers(needs) {
                 continue;
@@ -158,7 +165,7 @@
             let cold = place.cold_until > now;
             if place.avoid_until.is_some_and(|until| until > now)
                 || (cold && !place.cold.has_room(cold_share.max(1.0), now))
-                || !place.has_room(service.engine.as_ref(), entries)
+                || !place.has_room(service.engine.as_ref(), share)
             {
                 continue;
             }
@@ -196,20 +203,27 @@
 
     /// Counts the work of a request, unless it was counted at an earlier try.
     fn note_demand(&mut self, needs: &Needs, engine: Option<&Engine>, now: Instant) {
+        if !needs.avoid.is_empty() {
+            return;
+        }
+        self.demand.add_request(now);
         let (Some(engine), Some(name)) = (engine, &needs.model) else {
             return;
         };
-        if let Some(model) = engine.model(name)
-            && needs.avoid.is_empty()
-        {
+        if let Some(model) = engine.model(name) {
             let work = engine.group_seconds(model, needs.prompt_tokens, needs.answer_tokens);
-            self.demand.add(name, work, now);
+            self.demand.add_work(name, work, now);
         }
     }
 
     /// The work that callers asked for lately, by model, in groups that it would fill.
-    pub fn demand(&mut self, now: Instant) -> Vec<(ModelId, f64)> {
-        self.demand.rates(now)
+    pub fn demand(&self, now: Instant) -> Vec<(ModelId, f64)> {
+        self.demand.work(now)
+    }
+
+    /// Requests a second that callers asked for lately, refused ones included.
+    pub fn asked(&self, now: Instant) -> f64 {
+        self.demand.asked(now)
     }
 
     /// When the next refused caller should come back: spread evenly over the span.
@@ -303,12 +317,13 @@
     }
 
     /// Whether this entry's part of the places has room.
-    fn has_room(&self, engine: Option<&Engine>, entries: usize) -> bool {
+    fn has_room(&self, engine: Option<&Engine>, share: f64) -> bool {
         let slots = match engine {
             Some(engine) => engine.slots as usize,
             None => self.replica.slots as usize * (1 + PLAIN_QUEUE),
         };
-        self.work.len() < slots.div_ceil(entries).max(1)
+        // At least one place, or an entry with few callers could serve none of them.
+        self.work.len() < (slots as f64 * share).ceil().max(1.0) as usize
     }
 
     /// Running requests, with prompts that are still to be read counted by their length.
--- a/crates/admission/tests/backends.rs
+++ b/crates/admission/tests/backends.rs
@@ -206,3 +206,27 @@
     backends.set_view(view(vec![replica("a", "near", Some(("g2", "large")))], 26), now);
     expect_true!(backends.choose(&needs(&[]), now).is_ok(), "a new group has no work yet");
 }
+
+#[gtest]
+fn choose_fills_the_part_of_the_places_that_control_gave() {
+    let now = Instant::now();
+    let mut backends = backends(vec![replica("h1", "near", Some(("g1", "large")))], 4, 0.0, now);
+    backends.set_share(0.85);
+    let taken = (0..SLOTS).take_while(|_| backends.choose(&needs(&[]), now).is_ok()).count();
+    expect_that!(taken, eq(23));
+    // One that lost its callers keeps a place for the next of them.
+    backends.set_share(0.0);
+    expect_that!(backends.choose(&needs(&[]), now), err(anything()));
+}
+
+#[gtest]
+fn asked_counts_refused_requests_and_falls() {
+    let now = Instant::now();
+    let mut backends = backends(vec![replica("h1", "near", Some(("g1", "large")))], 1, 0.0, now);
+    for at in 0..200 {
+        let _ = backends.choose(&needs(&[]), now + Duration::from_millis(10 * at));
+    }
+    let end = now + Duration::from_secs(2);
+    expect_that!(backends.asked(end), near(100.0, 10.0));
+    expect_that!(backends.asked(end + Duration::from_secs(3)), lt(1.0));
+}
--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader.rs
@@ -4,6 +4,7 @@
     driver::Driver,
     events::{Event, Reply, SessionId},
     ledger::Command,
+    shares::PlaceShares,
 };
 use async_channel::Sender;
 use fleet::{
@@ -28,6 +29,8 @@
 const PLAN_EVERY: Duration = Duration::from_millis(200);
 /// How often entries hear from a leader that has nothing new.
 const ALIVE_EVERY: Duration = Duration::from_millis(500);
+/// How often places are divided among the entries: as often as these report.
+const SHARE_EVERY: Duration = Duration::from_millis(100);
 /// Silence after which an entry leaves the directory: a few of its reports.
 const ENTRY_SILENCE: Duration = Duration::from_millis(1500);
 /// Report intervals for which the first leader waits, so that every host has reported.
@@ -46,6 +49,8 @@
     /// The phases of groups that were logged last.
     phases: BTreeMap<GroupName, Phase>,
     entries: BTreeMap<SessionId, (EntryStatus, Instant)>,
+    shares: PlaceShares,
+    share_at: Instant,
     manifest: Option<Arc<Manifest>>,
     engine_service: Option<ServiceId>,
     view: Option<RoutingView>,
@@ -103,6 +108,8 @@
             resumes: !self.ledger.groups.is_empty(),
             phases: BTreeMap::new(),
             entries: BTreeMap::new(),
+            shares: PlaceShares::default(),
+            share_at: now,
             manifest: None,
             engine_service: None,
             view: None,
@@ -333,6 +340,14 @@
                 let _ = reply.try_send(Reply::Done);
             }
         }
+        if now >= leading.share_at + SHARE_EVERY {
+            leading.share_at = now;
+            for (session, part) in leading.divide_places() {
+                if let Some(tx) = self.entries.get(&session) {
+                    push(tx, ControlMessage::Share(part));
+                }
+            }
+        }
         if now >= leading.alive_at + ALIVE_EVERY {
             leading.alive_at = now;
             for tx in self.entries.values() {
@@ -438,6 +453,11 @@
 }
 
 impl Leading {
+    fn divide_places(&mut self) -> Vec<(SessionId, f64)> {
+        let asked = self.entries.iter().map(|(session, (status, _))| (*session, status.asked));
+        self.shares.divide(&asked.collect())
+    }
+
     fn expire_entries(&mut self, now: Instant) {
         let before = self.entries.len();
         self.entries.retain(|_, (_, heard)| now.saturating_duration_since(*heard) <= ENTRY_SILENCE);
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -11,12 +11,14 @@
 mod membership;
 mod metrics;
 mod sessions;
+mod shares;
 
 pub use driver::{Config, Driver};
-pub use events::{Call, Event, Handle, Reply};
+pub use events::{Call, Event, Handle, Reply, SessionId};
 pub use ledger::{Command, Ledger, StoredManifest};
 pub use metrics::Counters;
 pub use sessions::Sessions;
+pub use shares::PlaceShares;
 
 use fleet::HostOrder;
 use futures_lite::future::Boxed;
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -50,6 +50,8 @@
     pub served: u64,
     /// The work that callers asked for lately, by model, in groups that it would fill.
     pub demand: Vec<(ModelId, f64)>,
+    /// Requests a second that callers asked for lately, refused ones included.
+    pub asked: f64,
     /// Groups whose head produced something lately.
     pub alive: Vec<GroupName>,
     /// Groups whose head has stood still with work to do.
@@ -77,6 +79,8 @@
     Manifest(Arc<Manifest>),
     /// What may be sent to.
     View(RoutingView),
+    /// The entry's part of the places at each backend server, between 0 and 1.
+    Share(f64),
     /// The sender leads, and nothing has changed.
     Alive {
         /// Addresses for conversations of control processes.
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -139,6 +139,10 @@
                 info!("event=view replicas={} entries={}", view.replicas.len(), view.entries.len());
                 self.shared.set_view(view);
             }
+            ControlMessage::Share(part) => {
+                info!("event=share part={part:.3}");
+                self.shared.set_share(part);
+            }
             ControlMessage::Alive { known } => self.learn(&known),
             ControlMessage::NotLeader { .. } => {}
         }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -140,6 +140,11 @@
         }
     }
 
+    /// Takes this entry's part of the places at the backend servers.
+    pub(crate) fn set_share(&self, part: f64) {
+        lock(&self.backends).set_share(part);
+    }
+
     /// The time since the last view came, in milliseconds; 0 if none has come.
     pub(crate) fn view_age_ms(&self) -> u128 {
         let now = self.clock.now();
@@ -152,9 +157,10 @@
 
     pub(crate) fn status(&self) -> EntryStatus {
         let now = self.clock.now();
-        let mut backends = lock(&self.backends);
+        let backends = lock(&self.backends);
         EntryStatus {
             demand: backends.demand(now),
+            asked: backends.asked(now),
             entry: self.name.clone(),
             address: self.address,
             accepts: self.is_ready(),
