Account for what hosts are used for; let a load end its claim when it is done

Control logs each second, and counts in host_*_milliseconds, how many engine hosts serve, start, end, load, lack partners, are blank, stray, leave or are silent.

Loads now go, one by one over all fabric domains, where a group lacks the fewest hosts, instead of to the first domain in order; the test fails on the old order.

--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader.rs
@@ -12,7 +12,8 @@
     RoutingView,
 };
 use groups::{
-    EntriesSeen, OrderOutcome, OrderResult, Phase, Planner, PlannerInput, Registry, routing_view,
+    EntriesSeen, HostUse, OrderOutcome, OrderResult, Phase, Planner, PlannerInput, Registry,
+    routing_view,
 };
 use log::info;
 use model::ids::{HostId, ServiceId};
@@ -31,6 +32,8 @@
 const ALIVE_EVERY: Duration = Duration::from_millis(500);
 /// How often places are divided among the entries: as often as these report.
 const SHARE_EVERY: Duration = Duration::from_millis(100);
+/// How often the uses of hosts are counted.
+const ACCOUNT_EVERY: Duration = Duration::from_secs(1);
 /// Silence after which an entry leaves the directory: a few of its reports.
 const ENTRY_SILENCE: Duration = Duration::from_millis(1500);
 /// Report intervals for which the first leader waits, so that every host has reported.
@@ -51,6 +54,7 @@
     entries: BTreeMap<SessionId, (EntryStatus, Instant)>,
     shares: PlaceShares,
     share_at: Instant,
+    account_at: Instant,
     manifest: Option<Arc<Manifest>>,
     engine_service: Option<ServiceId>,
     view: Option<RoutingView>,
@@ -110,6 +114,7 @@
             entries: BTreeMap::new(),
             shares: PlaceShares::default(),
             share_at: now,
+            account_at: now,
             manifest: None,
             engine_service: None,
             view: None,
@@ -258,9 +263,10 @@
         });
         let host = report.host.clone();
         let what = format!("{:?}", report.membership);
+        let place = format!("fabric={:?} staged={:?}", report.fabric, report.staged);
         if leading.registry.take(report, now) {
             if news {
-                info!("event=host host={host} leaving={leaving} part=\"{what}\"");
+                info!("event=host host={host} leaving={leaving} {place} part=\"{what}\"");
                 leading.changed = true;
             }
         } else {
@@ -332,6 +338,7 @@
             self.plan(now);
             self.publish(learned, now);
         }
+        self.account(now);
         let Some(leading) = &mut self.leading else {
             return;
         };
@@ -408,6 +415,44 @@
         }
     }
 
+    /// Counts and logs what hosts were used for since the last time.
+    fn account(&mut self, now: Instant) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let passed = now.saturating_duration_since(leading.account_at);
+        if passed < ACCOUNT_EVERY {
+            return;
+        }
+        leading.account_at = now;
+        let uses = leading.planner.host_uses(&leading.registry, &self.ledger.domains_out, now);
+        let mut line = String::new();
+        for what in HostUse::ALL {
+            let hosts = uses.values().filter(|other| **other == what).count();
+            self.counters.count_hosts(what, hosts, passed);
+            if hosts > 0 {
+                line += &format!(" {}={hosts}", what.word());
+            }
+        }
+        info!("event=hosts{line}");
+        let mut by: BTreeMap<_, Vec<String>> = BTreeMap::new();
+        for (host, what) in &uses {
+            let report = &leading.registry.hosts()[*host].report;
+            by.entry(report.fabric.clone()).or_default().push(format!(
+                "{}:{}",
+                what.word(),
+                report
+                    .loaded
+                    .as_ref()
+                    .map_or_else(|| format!("[{}]", report.staged.join("+")), |m| m.to_string())
+            ));
+        }
+        for (f, mut v) in by {
+            v.sort();
+            info!("event=fabric fabric={f} hosts=\"{}\"", v.join(" "));
+        }
+    }
+
     fn publish(&mut self, is_complete: bool, now: Instant) {
         let Some(leading) = &mut self.leading else {
             return;
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -1,7 +1,9 @@
 //! Counters and gauges of a control process.
 
 use base::metrics::Metrics;
+use groups::HostUse;
 use prometheus_client::metrics::{counter::Counter, gauge::Gauge};
+use std::{collections::BTreeMap, time::Duration};
 
 /// Counters and gauges of a control process.
 #[derive(Debug, Clone)]
@@ -17,9 +19,17 @@
     pub(crate) views: Counter,
     pub(crate) groups_serving: Gauge,
     pub(crate) sessions_refused: Counter,
+    host_ms: BTreeMap<HostUse, Counter>,
 }
 
 impl Counters {
+    /// Adds the time that some hosts were used for something.
+    pub(crate) fn count_hosts(&self, what: HostUse, hosts: usize, time: Duration) {
+        if let Some(counter) = self.host_ms.get(&what) {
+            counter.inc_by(hosts as u64 * time.as_millis() as u64);
+        }
+    }
+
     /// Registers them.
     pub fn register(metrics: &Metrics) -> Counters {
         let counter = |name: &str, help: &str| metrics.counter(name, help);
@@ -34,6 +44,13 @@
             orders_failed: counter("orders_failed", "orders that were refused or not answered"),
             views: counter("views_published", "routing views published"),
             groups_serving: metrics.gauge("groups_serving", "groups that serve"),
+            host_ms: HostUse::ALL
+                .into_iter()
+                .map(|what| {
+                    let name = format!("host_{}_milliseconds", what.word());
+                    (what, counter(&name, "time of engine hosts in this use, added up"))
+                })
+                .collect(),
             sessions_refused: counter("sessions_refused", "conversations refused"),
         }
     }
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -13,6 +13,6 @@
 mod view;
 
 pub use limits::Limits;
-pub use planner::{OrderOutcome, OrderResult, Phase, Planner, PlannerInput, Step};
+pub use planner::{HostUse, OrderOutcome, OrderResult, Phase, Planner, PlannerInput, Step};
 pub use registry::{HostSeen, Registry};
 pub use view::{EntriesSeen, routing_view};
--- a/crates/groups/src/loads.rs
+++ b/crates/groups/src/loads.rs
@@ -9,26 +9,23 @@
 /// The span over which starts of loads are counted.
 const WINDOW: Duration = Duration::from_secs(5);
 
-/// Counts loads that started, and those under way.
+/// Counts loads that started lately.
 #[derive(Debug, Default)]
 pub(crate) struct LoadGate {
-    starts: VecDeque<(Instant, Instant)>,
+    starts: VecDeque<Instant>,
 }
 
 impl LoadGate {
-    /// How many loads may start now.
-    pub(crate) fn room(&mut self, engine: &Engine, now: Instant) -> usize {
-        let recent = |start: Instant| now.saturating_duration_since(start) < WINDOW;
-        self.starts.retain(|(start, end)| recent(*start) || *end > now);
-        let started = self.starts.iter().filter(|(start, _)| recent(*start)).count();
-        let running = self.starts.iter().filter(|(_, end)| *end > now).count();
+    /// How many loads may start now, with `running` under way.
+    pub(crate) fn room(&mut self, engine: &Engine, running: usize, now: Instant) -> usize {
+        self.starts.retain(|start| now.saturating_duration_since(*start) < WINDOW);
         let per_window = (engine.loads_per_s * WINDOW.as_secs_f64()) as usize;
         let at_once = engine.loads_at_once as usize;
-        per_window.saturating_sub(started).min(at_once.saturating_sub(running))
+        per_window.saturating_sub(self.starts.len()).min(at_once.saturating_sub(running))
     }
 
-    /// Notes a load that starts now and takes `time`.
-    pub(crate) fn note(&mut self, time: Duration, now: Instant) {
-        self.starts.push_back((now, now + time));
+    /// Notes a load that starts now.
+    pub(crate) fn note(&mut self, now: Instant) {
+        self.starts.push_back(now);
     }
 }
--- a/crates/groups/src/planner/forming.rs
+++ b/crates/groups/src/planner/forming.rs
@@ -31,7 +31,7 @@
     }
 
     /// Whether a host must leave the group that it reports before it joins another one.
-    fn is_stray(&self, part: &Membership) -> bool {
+    pub(super) fn is_stray(&self, part: &Membership) -> bool {
         let ended = !self.groups.contains_key(&part.group);
         ended && (part.serves() || !self.closed.contains(&part.group))
     }
--- a/crates/groups/src/planner/mod.rs
+++ b/crates/groups/src/planner/mod.rs
@@ -1,11 +1,13 @@
 //! The life of groups: joined, opened, serving, closed, ended.
 
+mod account;
 mod forming;
 mod group;
 mod outcome;
 mod staging;
 mod tending;
 
+pub use account::HostUse;
 pub(crate) use group::Group;
 pub use group::Phase;
 pub use outcome::{OrderOutcome, OrderResult};
@@ -137,9 +139,12 @@
             self.tend(&name, input, &mut orders);
         }
         let hosts = input.registry.hosts();
+        let silence = self.limits.member_silence;
         self.staging.retain(|host, (model, until)| {
-            let staged = hosts.get(host).is_some_and(|seen| seen.report.staged.contains(model));
-            !staged && *until > input.now
+            let loads = hosts.get(host).is_some_and(|seen| {
+                seen.is_present(silence, input.now) && !seen.report.staged.contains(model)
+            });
+            loads && *until > input.now
         });
         let mut free = self.free_hosts(input);
         let formed = self.form(input, &mut free);
--- a/crates/groups/src/planner/staging.rs
+++ b/crates/groups/src/planner/staging.rs
@@ -1,7 +1,10 @@
 //! Puts weights on hosts before they are needed there.
 
 use super::{Planner, PlannerInput, group::Group};
-use crate::placement::{FreeHost, model_need};
+use crate::{
+    HostSeen,
+    placement::{FreeHost, model_need},
+};
 use fleet::{EngineModel, HostOrder, OrderKind};
 use model::ids::{FabricId, HostId, ModelId};
 use std::{
@@ -12,29 +15,91 @@
 /// Most hosts whose weights are replaced for one group.
 const STAGE_OVER_MAX: usize = 2;
 
+/// What a host with weights is worth that completes no group yet, against one that does.
+const SPARE_WORTH: f64 = 0.25;
+/// The same where the fabric domain has groups of the model and no spare host for them.
+const FIRST_SPARE_WORTH: f64 = 0.5;
+
+/// A load that would bring weights to a host.
+#[derive(Debug)]
+struct Load<'a> {
+    host: HostId,
+    fabric: &'a FabricId,
+    model: &'a EngineModel,
+    worth: f64,
+}
+
 impl Planner {
-    /// Puts weights on hosts that have none, so that they can complete a group soon.
+    /// Puts weights on hosts that lack those of a group which they could complete. Loads are
+    /// scarce, so that each goes where a group lacks the fewest hosts, over all fabric
+    /// domains, weighed by how much the model is needed.
     pub(super) fn stage(
         &mut self,
         input: &PlannerInput<'_>,
         free: &BTreeMap<FabricId, Vec<FreeHost>>,
         orders: &mut Vec<HostOrder>,
     ) {
-        for (fabric, hosts) in free {
-            let mut ready = self.ready_hosts(fabric, hosts, input);
-            for spare in hosts.iter().filter(|host| host.is_blank()) {
-                let Some(model) = self.model_to_stage(fabric, &ready, input) else {
+        let mut idle: BTreeMap<&FabricId, Vec<&FreeHost>> =
+            free.iter().map(|(fabric, hosts)| (fabric, hosts.iter().collect())).collect();
+        while self.load_room(input) > 0 {
+            let Some(load) = self.best_load(&idle, input) else {
+                return;
+            };
+            let kind = OrderKind::Stage { model: load.model.name.clone() };
+            if self.order(&load.host, kind, input, orders) {
+                self.gate.note(input.now);
+                let until = input.now + load.model.load * 2;
+                self.staging.insert(load.host.clone(), (load.model.name.clone(), until));
+            }
+            if let Some(hosts) = idle.get_mut(load.fabric) {
+                hosts.retain(|host| host.host != load.host);
+            }
+        }
+    }
+
+    fn best_load<'a>(
+        &self,
+        idle: &BTreeMap<&'a FabricId, Vec<&FreeHost>>,
+        input: &PlannerInput<'a>,
+    ) -> Option<Load<'a>> {
+        let counts = self.counts();
+        let mut best: Option<Load<'a>> = None;
+        for (fabric, hosts) in idle {
+            for model in &input.engine.models {
+                let Some((host, share)) = self.load_for(fabric, hosts, model, input) else {
                     continue;
                 };
-                if self.stage_host(&spare.host, model, input, orders) {
-                    *ready.entry(model.name.clone()).or_default() += 1;
+                let worth = share * model_need(model, input.demand, &counts);
+                if best.as_ref().is_none_or(|other| worth > other.worth) {
+                    best = Some(Load { host, fabric, model, worth });
                 }
             }
         }
-        for (fabric, hosts) in free {
-            let ready = self.ready_hosts(fabric, hosts, input);
-            self.stage_over(fabric, hosts, &ready, input, orders);
+        best
+    }
+
+    /// The host of a fabric domain that should get a model's weights next, if any, and the
+    /// part of a group that this brings.
+    fn load_for(
+        &self,
+        fabric: &FabricId,
+        hosts: &[&FreeHost],
+        model: &EngineModel,
+        input: &PlannerInput<'_>,
+    ) -> Option<(HostId, f64)> {
+        let have = self.ready_hosts(fabric, hosts, model, input);
+        let missing = model.size - have % model.size;
+        let blank: Vec<&&FreeHost> = hosts.iter().filter(|host| host.is_blank()).collect();
+        let part = 1.0 / missing as f64;
+        if blank.len() >= missing {
+            return Some((blank[0].host.clone(), part));
         }
+        if let Some(host) = self.replaceable(hosts, blank.len(), missing, model, input) {
+            return Some((host, part));
+        }
+        let unspared = have == 0 && self.groups_in(fabric, model, input) > 0;
+        let worth = if unspared { FIRST_SPARE_WORTH } else { SPARE_WORTH };
+        blank.first().map(|host| (host.host.clone(), worth * part))
     }
 
     pub(super) fn note_idle(&mut self, free: &BTreeMap<FabricId, Vec<FreeHost>>, now: Instant) {
@@ -45,91 +110,45 @@
         }
     }
 
-    /// Replaces the weights of hosts that have been idle for long, where that completes a
-    /// group: hosts that together fit no model serve nobody. Loads are scarce, and a host
-    /// that waits may complete a group with others soon, so that it is the last resort.
-    fn stage_over(
-        &mut self,
-        fabric: &FabricId,
-        hosts: &[FreeHost],
-        ready: &BTreeMap<ModelId, usize>,
+    /// The host whose weights should be replaced next so that a group becomes whole: hosts
+    /// that together fit no model serve nobody. A host that waits may complete a group with
+    /// others soon, so that only hosts give up their weights that have been idle for long.
+    fn replaceable(
+        &self,
+        hosts: &[&FreeHost],
+        blank: usize,
+        missing: usize,
+        model: &EngineModel,
         input: &PlannerInput<'_>,
-        orders: &mut Vec<HostOrder>,
-    ) {
-        let Some(model) = self.model_to_stage(fabric, ready, input) else {
-            return;
-        };
-        let have = ready.get(&model.name).copied().unwrap_or(0);
-        let missing = model.size.saturating_sub(have);
-        let others: Vec<&FreeHost> =
-            hosts.iter().filter(|host| host.needs_load(model) && !host.is_blank()).collect();
-        let patient = |host: &&FreeHost| {
+    ) -> Option<HostId> {
+        let patient = |host: &&&FreeHost| {
             let since = self.idle_since.get(&host.host);
             since.is_some_and(|at| input.now >= *at + self.limits.stage_over_after)
         };
-        if missing > STAGE_OVER_MAX || !others.iter().all(patient) {
-            return;
-        }
-        if missing == 0 || others.len() < missing {
-            return;
-        }
-        for host in &others[..missing] {
-            self.stage_host(&host.host, model, input, orders);
-        }
-    }
-
-    fn stage_host(
-        &mut self,
-        host: &HostId,
-        model: &EngineModel,
-        input: &PlannerInput<'_>,
-        orders: &mut Vec<HostOrder>,
-    ) -> bool {
-        let kind = OrderKind::Stage { model: model.name.clone() };
-        if self.load_room(input) == 0 || !self.order(host, kind, input, orders) {
-            return false;
-        }
-        self.gate.note(model.load, input.now);
-        let entry = (model.name.clone(), input.now + model.load * 2);
-        self.staging.insert(host.clone(), entry);
-        true
+        let others: Vec<&&FreeHost> =
+            hosts.iter().filter(|host| host.needs_load(model) && !host.is_blank()).collect();
+        let enough = missing <= STAGE_OVER_MAX && blank + others.len() >= missing;
+        (enough && others.iter().all(patient)).then(|| others[0].host.clone())
     }
 
-    /// How many free hosts of a fabric domain have, or will have, the weights of each model.
+    /// How many free hosts of a fabric domain have, or will have, the weights of a model.
     fn ready_hosts(
         &self,
         fabric: &FabricId,
-        hosts: &[FreeHost],
+        hosts: &[&FreeHost],
+        model: &EngineModel,
         input: &PlannerInput<'_>,
-    ) -> BTreeMap<ModelId, usize> {
-        let mut ready = BTreeMap::new();
-        for model in &input.engine.models {
-            let have = hosts.iter().filter(|host| !host.needs_load(model)).count();
-            let coming = self.staging.iter().filter(|(host, (staged, _))| {
-                let seen = input.registry.hosts().get(*host);
-                *staged == model.name && seen.is_some_and(|seen| seen.report.fabric == *fabric)
-            });
-            ready.insert(model.name.clone(), have + coming.count());
-        }
-        ready
-    }
-
-    /// The model whose next group lacks the fewest hosts, weighed by how much it is needed.
-    /// Models with groups in the fabric domain and without a spare host go first.
-    fn model_to_stage<'a>(
-        &self,
-        fabric: &FabricId,
-        ready: &BTreeMap<ModelId, usize>,
-        input: &PlannerInput<'a>,
-    ) -> Option<&'a EngineModel> {
-        let counts = self.counts();
-        let score = |model: &EngineModel| {
-            let have = ready.get(&model.name).copied().unwrap_or(0);
-            let missing = model.size - have % model.size;
-            let unspared = if have == 0 { self.groups_in(fabric, model, input) } else { 0 };
-            unspared as f64 + model_need(model, input.demand, &counts) / missing as f64
-        };
-        input.engine.models.iter().max_by(|a, b| score(a).total_cmp(&score(b)))
+    ) -> usize {
+        let have = hosts.iter().filter(|host| !host.needs_load(model)).count();
+        let coming = self.staging.iter().filter(|(host, (staged, _))| {
+            let seen = input.registry.hosts().get(*host);
+            let comes = |seen: &HostSeen| {
+                seen.report.fabric == *fabric
+                    && seen.is_present(self.limits.member_silence, input.now)
+            };
+            *staged == model.name && seen.is_some_and(comes)
+        });
+        have + coming.count()
     }
 
     fn groups_in(&self, fabric: &FabricId, model: &EngineModel, input: &PlannerInput<'_>) -> usize {
@@ -150,6 +169,9 @@
     }
 
     fn load_room(&mut self, input: &PlannerInput<'_>) -> usize {
-        if input.loads_unlimited { usize::MAX } else { self.gate.room(input.engine, input.now) }
+        if input.loads_unlimited {
+            return usize::MAX;
+        }
+        self.gate.room(input.engine, self.staging.len(), input.now)
     }
 }
--- a/crates/groups/tests/lifecycle.rs
+++ b/crates/groups/tests/lifecycle.rs
@@ -5,7 +5,8 @@
 use engine::FieldPlan;
 use fleet::GroupName;
 use googletest::prelude::*;
-use model::ids::HostId;
+use groups::{HostSeen, HostUse};
+use model::ids::{FabricId, HostId};
 use std::time::Duration;
 use world::World;
 
@@ -205,3 +206,61 @@
     expect_true!(world.registry.take(other, world.now));
     expect_true!(world.registry.hosts()["h000"].gone);
 }
+
+/// Kills a member of a group, and the spare hosts of its fabric domain.
+fn kill_with_spares(world: &mut World, name: &GroupName) -> FabricId {
+    let member = world.members_of(name)[1].clone();
+    let fabric = world.registry.hosts()[&member].report.fabric.clone();
+    let lone = |seen: &&HostSeen| seen.report.fabric == fabric && seen.report.membership.is_none();
+    let spares = world.registry.hosts().values().filter(lone);
+    let spares: Vec<HostId> = spares.map(|seen| seen.report.host.clone()).collect();
+    for host in spares.iter().chain([&member]) {
+        kill(world, host);
+    }
+    world.stalled.insert(name.clone());
+    fabric
+}
+
+#[gtest]
+fn step_stage_completes_a_group_before_it_begins_another() {
+    let mut world = World::new(&FieldPlan { domains: 1, fabrics: 3, hosts: 9 }, 14);
+    world.run_ms(6000);
+    world.field.traffic = true;
+    // One load at a time: the store is what everybody waits for.
+    world.field.engine.loads_at_once = 1;
+    let before = world.whole();
+    let last = world
+        .serving()
+        .into_iter()
+        .filter(|name| world.members_of(name).len() == 4)
+        .max_by_key(|name| world.registry.hosts()[&world.members_of(name)[0]].report.fabric.clone())
+        .expect("a large group");
+    let fabric = kill_with_spares(&mut world, &last);
+    expect_that!(&*fabric, eq("d0f2"));
+    world.run_ms(5000);
+    // New hosts: a whole group's worth in the first domain, the one that lacks in the last.
+    world.field.add(0, 2);
+    for _ in 0..4 {
+        world.field.add(0, 0);
+    }
+    world.run_ms(20_000);
+    expect_that!(world.whole(), ge(before), "the group that lacked one host is whole again");
+}
+
+#[gtest]
+fn host_uses_names_what_each_host_waits_for() {
+    let mut world = World::formed(15);
+    let name = group_of(&world, 4);
+    let uses = |world: &World| {
+        let uses = world.planner.host_uses(&world.registry, &world.domains_out, world.now);
+        HostUse::ALL.map(|what| uses.values().filter(|other| **other == what).count())
+    };
+    let [serving, starting, _, _, partnerless, ..] = uses(&world);
+    expect_that!(serving + starting + partnerless, eq(54));
+    kill_with_spares(&mut world, &name);
+    world.run_ms(5000);
+    let after = uses(&world);
+    expect_that!(after[0], eq(serving - 4));
+    expect_that!(after[4], eq(partnerless + 1), "three survivors instead of two spares");
+    expect_that!(after[8], eq(3), "silent");
+}
