Keep each fabric domain to one model

Each fabric domain held a group of either model and a spare for each, so that what was left of two broken groups could not be joined. Ruled out before: the order of loads (no difference), slow groups over several fabric domains (no gain).

A group now goes where its model already has groups, then to a domain without groups, and to one with other models only if nothing else is left; models are spread over failure domains, one that nobody serves goes first, and spares follow the groups of their domain.

--- a/crates/groups/src/placement.rs
+++ b/crates/groups/src/placement.rs
@@ -2,7 +2,7 @@
 
 use crate::PlannerInput;
 use fleet::EngineModel;
-use model::ids::{FabricId, HostId, ModelId};
+use model::ids::{DomainId, FabricId, HostId, ModelId};
 use std::{collections::BTreeMap, time::Duration};
 
 /// Time of a join for a host whose last group had the same model.
@@ -48,6 +48,48 @@
     pub(crate) time: Duration,
 }
 
+/// Where groups are.
+#[derive(Debug, Default)]
+pub(crate) struct Spread {
+    /// Groups of each model.
+    pub(crate) of_model: BTreeMap<ModelId, usize>,
+    /// Groups of each model in a fabric domain.
+    pub(crate) in_fabric: BTreeMap<(FabricId, ModelId), usize>,
+    /// Groups of each model in a failure domain.
+    pub(crate) in_domain: BTreeMap<(DomainId, ModelId), usize>,
+}
+
+impl Spread {
+    /// Counts a group.
+    pub(crate) fn add(&mut self, model: &ModelId, fabric: &FabricId, domain: &DomainId) {
+        *self.of_model.entry(model.clone()).or_default() += 1;
+        *self.in_fabric.entry((fabric.clone(), model.clone())).or_default() += 1;
+        *self.in_domain.entry((domain.clone(), model.clone())).or_default() += 1;
+    }
+
+    /// How well a further group of the model suits a fabric domain, between 0 and 1. Hosts
+    /// that survive their groups complete others of the same model at once, so that each
+    /// fabric domain keeps to one model, and a model is spread over failure domains.
+    fn suits(&self, model: &ModelId, fabric: &FabricId, domain: &DomainId) -> f64 {
+        let here = |(other, _): &(&(FabricId, ModelId), &usize)| other.0 == *fabric;
+        let groups: usize = self.in_fabric.iter().filter(here).map(|(_, count)| count).sum();
+        let own = self.in_fabric.get(&(fabric.clone(), model.clone())).copied().unwrap_or(0);
+        if own == groups && own > 0 {
+            return 1.0;
+        }
+        let near = self.in_domain.get(&(domain.clone(), model.clone())).copied().unwrap_or(0);
+        let suits = if groups == 0 { FRESH } else { SHARED };
+        suits / (1.0 + CROWDED * near as f64)
+    }
+}
+
+/// What a fabric domain without groups is worth against one that has groups of the model.
+const FRESH: f64 = 0.5;
+/// The same for one that has groups of other models.
+const SHARED: f64 = 0.05;
+/// How much less each group of the model in the same failure domain makes it worth.
+const CROWDED: f64 = 0.1;
+
 /// The best next group, if one fits in a fabric domain with at most `loads` loads.
 ///
 /// A group is worth more the fewer groups its model has for its part of the work, and the
@@ -55,19 +97,25 @@
 pub(crate) fn best_candidate(
     input: &PlannerInput<'_>,
     free: &BTreeMap<FabricId, Vec<FreeHost>>,
-    groups: &BTreeMap<ModelId, usize>,
+    spread: &Spread,
     loads: usize,
 ) -> Option<Candidate> {
-    let mut best: Option<(f64, Candidate)> = None;
+    let mut best: Option<((bool, f64), Candidate)> = None;
     for model in &input.engine.models {
-        let need = model_need(model, input.demand, groups);
+        let need = model_need(model, input.demand, &spread.of_model);
         for (fabric, hosts) in free {
             let Some(candidate) = candidate_in(model, fabric, hosts, loads) else {
                 continue;
             };
-            let score = need / (1.0 + candidate.time.as_secs_f64() / PATIENCE.as_secs_f64());
-            if best.as_ref().is_none_or(|(other, _)| score > *other) {
-                best = Some((score, candidate));
+            let head = input.registry.hosts().get(&candidate.hosts[0]);
+            let domain = head.map(|seen| seen.report.domain.clone()).unwrap_or_default();
+            let suits = spread.suits(&model.name, fabric, &domain);
+            let wait = candidate.time.as_secs_f64() / PATIENCE.as_secs_f64();
+            // A model that nobody serves goes first.
+            let unserved = !spread.of_model.contains_key(&model.name);
+            let rank = (unserved, need * suits / (1.0 + wait));
+            if best.as_ref().is_none_or(|(other, _)| rank > *other) {
+                best = Some((rank, candidate));
             }
         }
     }
--- a/crates/groups/src/planner/forming.rs
+++ b/crates/groups/src/planner/forming.rs
@@ -1,9 +1,9 @@
 //! Forms groups of hosts that are free, and takes hosts out of groups that have ended.
 
 use super::{Phase, Planner, PlannerInput, group::Group};
-use crate::placement::{Candidate, FreeHost, best_candidate};
+use crate::placement::{Candidate, FreeHost, Spread, best_candidate};
 use fleet::{GroupChange, GroupName, GroupRecord, HostOrder, Membership, OrderKind};
-use model::ids::{FabricId, HostId};
+use model::ids::{DomainId, FabricId, HostId};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Bits of an epoch below the leader's term.
@@ -70,10 +70,10 @@
     ) -> Vec<GroupChange> {
         let mut formed = Vec::new();
         loop {
-            let counts = self.counts();
+            let spread = self.spread(input);
             // A join that loads would hold its hosts for long; weights are staged instead.
             let room = if input.loads_unlimited { usize::MAX } else { 0 };
-            let Some(candidate) = best_candidate(input, free, &counts, room) else {
+            let Some(candidate) = best_candidate(input, free, &spread, room) else {
                 return formed;
             };
             if let Some(hosts) = free.get_mut(&candidate.fabric) {
@@ -83,6 +83,17 @@
         }
     }
 
+    fn spread(&self, input: &PlannerInput<'_>) -> Spread {
+        let mut spread = Spread::default();
+        for group in self.groups.values() {
+            match input.registry.hosts().get(&group.members[0]) {
+                Some(head) => spread.add(&group.model, &head.report.fabric, &head.report.domain),
+                None => spread.add(&group.model, &FabricId::default(), &DomainId::default()),
+            }
+        }
+        spread
+    }
+
     fn start_group(&mut self, candidate: Candidate, input: &PlannerInput<'_>) -> GroupChange {
         self.formed += 1;
         let epoch = (self.term << EPOCH_BITS) + self.formed;
--- a/crates/groups/src/planner/staging.rs
+++ b/crates/groups/src/planner/staging.rs
@@ -20,6 +20,9 @@
 /// The same where the fabric domain has groups of the model and no spare host for them.
 const FIRST_SPARE_WORTH: f64 = 0.5;
 
+/// The same where the fabric domain has no groups of the model.
+const STRAY_SPARE_WORTH: f64 = 0.05;
+
 /// A load that would bring weights to a host.
 #[derive(Debug)]
 struct Load<'a> {
@@ -97,8 +100,11 @@
         if let Some(host) = self.replaceable(hosts, blank.len(), missing, model, input) {
             return Some((host, part));
         }
-        let unspared = have == 0 && self.groups_in(fabric, model, input) > 0;
-        let worth = if unspared { FIRST_SPARE_WORTH } else { SPARE_WORTH };
+        let worth = match self.groups_in(fabric, model, input) {
+            0 => STRAY_SPARE_WORTH,
+            _ if have == 0 => FIRST_SPARE_WORTH,
+            _ => SPARE_WORTH,
+        };
         blank.first().map(|host| (host.host.clone(), worth * part))
     }
 
