--- a/crates/groups/src/placement.rs
+++ b/crates/groups/src/placement.rs
@@ -134,9 +134,14 @@
         true => model.share,
         false => demand.get(&model.name).copied().unwrap_or(0.0),
     };
-    work / (count + 0.5)
+    let whole = AVAILABILITY.powi(model.size as i32);
+    work / ((count + 0.5) * whole)
 }
 
+/// The part of the time in which a host is there: a group lacks one the more often, the more
+/// hosts it has. As on days with trouble.
+const AVAILABILITY: f64 = 0.85;
+
 /// A group that serves this much later is worth half.
 const PATIENCE: Duration = Duration::from_secs(4);
 
