Weigh prompts that are still to be read eight times as much in the choice of a group

All requests of a group wait while a prompt is read (2,048 tokens take 40 ms), and hardly for one more that writes (0.04 ms a step).

--- a/crates/admission/src/backends.rs
+++ b/crates/admission/src/backends.rs
@@ -305,6 +305,10 @@
 /// in requests.
 const FAR_LOAD: f64 = 0.5;
 
+/// What a step's worth of prompt that is still to be read counts, in running requests: all
+/// others wait while it is read, and hardly for one request more that writes.
+const UNREAD_LOAD: f64 = 8.0;
+
 impl Place {
     fn offers(&self, needs: &Needs) -> bool {
         self.replica.service == needs.service
@@ -338,6 +342,6 @@
             .filter(|work| work.first_event.is_none())
             .map(|work| work.prompt_tokens)
             .sum();
-        running + unread as f64 / f64::from(engine.chunk)
+        running + UNREAD_LOAD * unread as f64 / f64::from(engine.chunk)
     }
 }
--- a/crates/admission/tests/backends.rs
+++ b/crates/admission/tests/backends.rs
@@ -230,3 +230,22 @@
     expect_that!(backends.asked(end), near(100.0, 10.0));
     expect_that!(backends.asked(end + Duration::from_secs(3)), lt(1.0));
 }
+
+#[gtest]
+fn choose_goes_round_a_group_that_reads_a_long_prompt() {
+    let now = Instant::now();
+    let groups = [("h1", "g1"), ("h2", "g2")];
+    let replicas = groups.map(|(host, group)| replica(host, "near", Some((group, "large"))));
+    let mut backends = backends(replicas.into(), 1, 0.0, now);
+    let long = Needs { prompt_tokens: 2048, ..needs(&[]) };
+    let reading = backends.choose(&long, now).expect("a place");
+    // Three short ones that write already are less in the way than one that is read.
+    let others: Vec<_> =
+        (0..3).map(|_| backends.choose(&needs(&[]), now).expect("a place")).collect();
+    for other in &others {
+        expect_that!(other.replica.host, ne(&reading.replica.host));
+        backends.progress(&other.ticket, now);
+    }
+    let next = backends.choose(&needs(&[]), now).expect("a place");
+    expect_that!(next.replica.host, ne(&reading.replica.host));
+}
