Ask the members of all groups when a leader begins

A new leader knew groups from the log and heard their hosts within a report interval (1.2 s), so that after a loss of power groups served again 0.3 to 1.2 s after the election. The log now holds where members take orders; a new leader asks them all at once, and takes what they say until they report.

--- a/crates/coordinator/src/driver.rs
+++ b/crates/coordinator/src/driver.rs
@@ -195,6 +195,7 @@
             Event::Entry { session, message } => self.take_entry(session, message, now),
             Event::EntryClosed { session } => self.close_entry(session),
             Event::OrderDone(outcome) => self.take_outcome(&outcome, now),
+            Event::MemberSeen { term, member, state } => self.take_state(term, &member, state, now),
             Event::Call { call, reply } => self.take_call(call, reply, now),
             Event::Seeds(seeds) => {
                 for seed in &seeds {
--- a/crates/coordinator/src/events.rs
+++ b/crates/coordinator/src/events.rs
@@ -2,7 +2,7 @@
 
 use crate::ledger::Command;
 use async_channel::{Receiver, Sender, bounded};
-use fleet::{ControlMessage, EntryMessage, HostReport, LogMessage};
+use fleet::{ControlMessage, EntryMessage, GroupMember, HostReport, HostState, LogMessage};
 use groups::OrderOutcome;
 use model::ids::HostId;
 use std::{net::SocketAddr, sync::mpsc};
@@ -36,6 +36,15 @@
     },
     /// The sending of an order ended.
     OrderDone(OrderOutcome),
+    /// A member of a group answered how its engine is.
+    MemberSeen {
+        /// The term of the leader that asked.
+        term: u64,
+        /// The member.
+        member: GroupMember,
+        /// Its answer, if any came.
+        state: Option<HostState>,
+    },
     /// A call from outside.
     Call {
         /// The call.
--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader.rs
@@ -8,8 +8,8 @@
 };
 use async_channel::Sender;
 use fleet::{
-    ControlMessage, EntryMessage, EntryStatus, GroupName, HostReport, Manifest, OrderKind,
-    RoutingView,
+    ControlMessage, EntryMessage, EntryStatus, GroupMember, GroupName, HostReport, HostState,
+    Manifest, OrderKind, RoutingView,
 };
 use groups::{
     EntriesSeen, HostUse, OrderOutcome, OrderResult, Phase, Planner, PlannerInput, Registry,
@@ -126,6 +126,47 @@
             after_view: Vec::new(),
         });
         self.manifest_changed();
+        self.ask_members();
+    }
+
+    /// Asks the members of all groups how they are: they report in their own time, and
+    /// entries that know nothing wait for this leader.
+    fn ask_members(&self) {
+        let term = self.node.term();
+        for member in self.ledger.groups.values().flat_map(|record| &record.members).cloned() {
+            let asked = self.orders.ask(&member.host, member.address);
+            let handle = self.handle.clone();
+            self.pool
+                .spawn(async move {
+                    let state = asked.await;
+                    handle.send(Event::MemberSeen { term, member, state });
+                })
+                .detach();
+        }
+    }
+
+    pub(crate) fn take_state(
+        &mut self,
+        term: u64,
+        member: &GroupMember,
+        state: Option<HostState>,
+        now: Instant,
+    ) {
+        let own_term = self.node.term();
+        let Some(leading) = self.leading.as_mut().filter(|_| term == own_term) else {
+            return;
+        };
+        let Some(state) = state else {
+            info!("event=host_asked host={} answer=none", member.host);
+            return;
+        };
+        let part = format!("{:?}", state.membership);
+        if let Some(service) = &leading.engine_service
+            && leading.registry.take_state(member, service, state, now)
+        {
+            info!("event=host_asked host={} answer=taken part=\"{part}\"", member.host);
+            leading.changed = true;
+        }
     }
 
     pub(crate) fn end_leading(&mut self) {
--- a/crates/coordinator/src/ledger.rs
+++ b/crates/coordinator/src/ledger.rs
@@ -60,7 +60,8 @@
                 self.domains_out.remove(&domain);
             }
             Command::Group(GroupChange::Formed { name, record }) => {
-                let taken = record.members.iter().find(|(host, _)| self.group_of(host).is_some());
+                let taken =
+                    record.members.iter().find(|member| self.group_of(&member.host).is_some());
                 assert!(taken.is_none(), "a host in two groups: {taken:?}");
                 self.groups.insert(name, record);
             }
@@ -73,7 +74,7 @@
 
     /// The group that a host belongs to.
     pub fn group_of(&self, host: &HostId) -> Option<&GroupName> {
-        let has = |record: &GroupRecord| record.members.iter().any(|(member, _)| member == host);
+        let has = |record: &GroupRecord| record.members.iter().any(|member| member.host == *host);
         self.groups.iter().find(|(_, record)| has(record)).map(|(name, _)| name)
     }
 
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -20,12 +20,17 @@
 pub use sessions::Sessions;
 pub use shares::PlaceShares;
 
-use fleet::HostOrder;
+use fleet::{HostOrder, HostState};
 use futures_lite::future::Boxed;
 use groups::OrderResult;
+use model::ids::HostId;
+use std::net::SocketAddr;
 
 /// Carries out orders to hosts.
 pub trait Orders: Send + Sync {
     /// Sends an order and waits for its outcome for a limited time.
     fn send(&self, order: &HostOrder) -> Boxed<OrderResult>;
+
+    /// Asks a host how its engine is; none if it doesn't answer in a limited time.
+    fn ask(&self, host: &HostId, address: SocketAddr) -> Boxed<Option<HostState>>;
 }
--- a/crates/coordinator/tests/ledger.rs
+++ b/crates/coordinator/tests/ledger.rs
@@ -1,9 +1,9 @@
 //! The replicated state.
 
 use coordinator::{Command, Ledger, StoredManifest};
-use fleet::{CallerLimits, GroupChange, GroupRecord, Manifest};
+use fleet::{CallerLimits, GroupChange, GroupMember, GroupRecord, Manifest};
 use googletest::prelude::*;
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 fn manifest(number: u64, body: &str) -> Command {
     let limits = CallerLimits {
@@ -16,8 +16,19 @@
     Command::Manifest(Box::new(StoredManifest { body: body.into(), manifest }))
 }
 
+fn member(host: &str) -> GroupMember {
+    GroupMember {
+        host: host.into(),
+        born: 1,
+        address: SocketAddr::from(([127, 0, 0, 1], 9000)),
+        domain: "d".into(),
+        fabric: "f".into(),
+        slots: 26,
+    }
+}
+
 fn formed(name: &str, hosts: &[&str]) -> Command {
-    let members = hosts.iter().map(|host| ((*host).into(), 1)).collect();
+    let members = hosts.iter().map(|host| member(host)).collect();
     let record = GroupRecord { epoch: 1, model: "m".into(), members };
     Command::Group(GroupChange::Formed { name: name.into(), record })
 }
--- a/crates/fleet/src/group.rs
+++ b/crates/fleet/src/group.rs
@@ -1,8 +1,9 @@
 //! What the log remembers of groups.
 
 use crate::{BornMs, Epoch, GroupName};
-use model::ids::{HostId, ModelId};
+use model::ids::{DomainId, FabricId, HostId, ModelId};
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// A group whose members may have been told to join.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -11,8 +12,25 @@
     pub epoch: Epoch,
     /// The model.
     pub model: ModelId,
-    /// The members, the head first, each with the life that it was in.
-    pub members: Vec<(HostId, BornMs)>,
+    /// The members, the head first.
+    pub members: Vec<GroupMember>,
+}
+
+/// A host that may belong to a group: enough to ask it before it reports.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupMember {
+    /// The host.
+    pub host: HostId,
+    /// The life that it was in.
+    pub born: BornMs,
+    /// Where it takes requests and orders.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Its fabric domain.
+    pub fabric: FabricId,
+    /// Requests that it runs at once as a head.
+    pub slots: u32,
 }
 
 /// A change of the groups.
--- a/crates/fleet/src/host.rs
+++ b/crates/fleet/src/host.rs
@@ -43,6 +43,19 @@
     }
 }
 
+/// What a backend server answers when it is asked how its engine is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HostState {
+    /// When this life of the backend server began.
+    pub born: BornMs,
+    /// Models whose weights are on the host.
+    pub staged: Vec<ModelId>,
+    /// The model of its last group since its start.
+    pub loaded: Option<ModelId>,
+    /// The group that it belongs to.
+    pub membership: Option<Membership>,
+}
+
 /// The part of a host in a group.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Membership {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,8 +7,8 @@
 mod messages;
 mod view;
 
-pub use group::{GroupChange, GroupRecord};
-pub use host::{HostOrder, HostReport, MemberState, Membership, OrderKind};
+pub use group::{GroupChange, GroupMember, GroupRecord};
+pub use host::{HostOrder, HostReport, HostState, MemberState, Membership, OrderKind};
 pub use manifest::{
     CallerLimits, ColdLimit, Engine, EngineModel, Manifest, ManifestFault, Route, RouteKind,
     Service, ServiceShare, Team,
--- a/crates/groups/src/planner/forming.rs
+++ b/crates/groups/src/planner/forming.rs
@@ -2,7 +2,9 @@
 
 use super::{Phase, Planner, PlannerInput, group::Group};
 use crate::placement::{Candidate, FreeHost, Spread, best_candidate};
-use fleet::{GroupChange, GroupName, GroupRecord, HostOrder, Membership, OrderKind};
+use fleet::{
+    GroupChange, GroupMember, GroupName, GroupRecord, HostOrder, HostReport, Membership, OrderKind,
+};
 use model::ids::{DomainId, FabricId, HostId};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -99,11 +101,12 @@
         let epoch = (self.term << EPOCH_BITS) + self.formed;
         let name: GroupName = format!("g{epoch}").into();
         let hosts = input.registry.hosts();
-        let born = |host: &HostId| hosts.get(host).map_or(0, |seen| seen.report.born);
+        let reports = candidate.hosts.iter().filter_map(|host| hosts.get(host));
+        let members: Vec<GroupMember> = reports.map(|seen| member_of(&seen.report)).collect();
         let group = Group {
             epoch,
             model: candidate.model,
-            lives: candidate.hosts.iter().map(born).collect(),
+            lives: members.iter().map(|member| member.born).collect(),
             members: candidate.hosts,
             acked: BTreeSet::new(),
             phase: Phase::Proposed,
@@ -115,12 +118,19 @@
             closed: false,
             probed: None,
         };
-        let record = GroupRecord {
-            epoch,
-            model: group.model.clone(),
-            members: group.members.iter().cloned().zip(group.lives.iter().copied()).collect(),
-        };
+        let record = GroupRecord { epoch, model: group.model.clone(), members };
         self.groups.insert(name.clone(), group);
         GroupChange::Formed { name, record }
     }
 }
+
+fn member_of(report: &HostReport) -> GroupMember {
+    GroupMember {
+        host: report.host.clone(),
+        born: report.born,
+        address: report.address,
+        domain: report.domain.clone(),
+        fabric: report.fabric.clone(),
+        slots: report.slots,
+    }
+}
--- a/crates/groups/src/planner/group.rs
+++ b/crates/groups/src/planner/group.rs
@@ -77,8 +77,8 @@
         Group {
             epoch: record.epoch,
             model: record.model.clone(),
-            members: record.members.iter().map(|(host, _)| host.clone()).collect(),
-            lives: record.members.iter().map(|(_, born)| *born).collect(),
+            members: record.members.iter().map(|member| member.host.clone()).collect(),
+            lives: record.members.iter().map(|member| member.born).collect(),
             acked: BTreeSet::new(),
             phase: Phase::Resumed,
             deadline,
--- a/crates/groups/src/registry.rs
+++ b/crates/groups/src/registry.rs
@@ -1,8 +1,8 @@
 //! What hosts have reported.
 
 use crate::Limits;
-use fleet::HostReport;
-use model::ids::HostId;
+use fleet::{GroupMember, HostReport, HostState};
+use model::ids::{HostId, ServiceId};
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
@@ -80,6 +80,36 @@
         true
     }
 
+    /// Takes what a member of a group answered to a new leader, unless the host has reported
+    /// by then; returns whether it was taken. Its next report supersedes it.
+    pub fn take_state(
+        &mut self,
+        member: &GroupMember,
+        service: &ServiceId,
+        state: HostState,
+        now: Instant,
+    ) -> bool {
+        if self.hosts.contains_key(&member.host) || self.by_address.contains_key(&member.address) {
+            return false;
+        }
+        let report = HostReport {
+            host: member.host.clone(),
+            born: state.born,
+            sequence: 0,
+            service: service.clone(),
+            address: member.address,
+            domain: member.domain.clone(),
+            fabric: member.fabric.clone(),
+            leaving: false,
+            cold: Duration::ZERO,
+            slots: member.slots,
+            staged: state.staged,
+            loaded: state.loaded,
+            membership: state.membership,
+        };
+        self.take(report, now)
+    }
+
     /// Notes that a host ends; returns whether it was known.
     pub fn remove(&mut self, host: &str) -> bool {
         match self.hosts.get_mut(host) {
--- a/crates/groups/tests/lifecycle.rs
+++ b/crates/groups/tests/lifecycle.rs
@@ -275,7 +275,7 @@
     let mut models: BTreeMap<FabricId, BTreeSet<ModelId>> = BTreeMap::new();
     let mut domains: BTreeMap<ModelId, BTreeSet<DomainId>> = BTreeMap::new();
     for record in world.records.values() {
-        let head = &hosts[&record.members[0].0].report;
+        let head = &hosts[&record.members[0].host].report;
         models.entry(head.fabric.clone()).or_default().insert(record.model.clone());
         domains.entry(record.model.clone()).or_default().insert(head.domain.clone());
     }
@@ -306,3 +306,29 @@
     expect_that!(world.whole(), ge(before - 1), "seven hosts are left, of one model");
     expect_that!(world.field.breaches, is_empty());
 }
+
+#[gtest]
+fn take_state_lets_a_new_leader_go_on_before_hosts_report() {
+    let mut world = World::formed(18);
+    let before = world.serving();
+    world.change_leader();
+    world.ask_members();
+    world.run_ms(60);
+    expect_that!(world.serving(), eq(&before));
+    expect_that!(world.field.breaches, is_empty());
+}
+
+#[gtest]
+fn take_state_yields_to_a_report() {
+    let mut world = World::formed(19);
+    let name = group_of(&world, 4);
+    let member = world.records[&name].members[0].clone();
+    let mut report = world.field.report(&member.host).expect("it is reachable");
+    world.change_leader();
+    report.leaving = true;
+    report.sequence += 1;
+    let now = world.now;
+    expect_true!(world.registry.take(report, now));
+    world.ask_members();
+    expect_true!(world.registry.hosts()[&member.host].report.leaving, "its own report says more");
+}
--- a/crates/groups/tests/world/mod.rs
+++ b/crates/groups/tests/world/mod.rs
@@ -4,7 +4,7 @@
 
 use engine::{Field, FieldPlan, sample_engine};
 use fastrand::Rng;
-use fleet::{GroupChange, GroupName, GroupRecord, HostOrder, HostReport};
+use fleet::{GroupChange, GroupName, GroupRecord, HostOrder, HostReport, HostState};
 use groups::{Limits, OrderOutcome, OrderResult, Phase, Planner, PlannerInput, Registry};
 use model::ids::{DomainId, HostId};
 use std::{
@@ -100,9 +100,25 @@
         self.planner.set_engine_service(Some(self.field.service.clone()));
     }
 
+    /// The new leader asks the members of all groups how they are.
+    pub fn ask_members(&mut self) {
+        for member in self.records.values().flat_map(|record| &record.members) {
+            let Some(report) = self.field.report(&member.host) else {
+                continue;
+            };
+            let state = HostState {
+                born: report.born,
+                staged: report.staged,
+                loaded: report.loaded,
+                membership: report.membership,
+            };
+            self.registry.take_state(member, &self.field.service, state, self.now);
+        }
+    }
+
     /// The members of the group whose head is or was `head`.
     pub fn members_of(&self, name: &GroupName) -> Vec<HostId> {
-        self.records[name].members.iter().map(|(host, _)| host.clone()).collect()
+        self.records[name].members.iter().map(|member| member.host.clone()).collect()
     }
 
     /// Names of groups that serve, in the planner's eyes.
@@ -154,11 +170,11 @@
         for change in step.changes {
             match change {
                 GroupChange::Formed { name, record } => {
-                    for (host, _) in &record.members {
+                    for host in record.members.iter().map(|member| &member.host) {
                         let taken = self
                             .records
                             .values()
-                            .any(|other| other.members.iter().any(|(member, _)| member == host));
+                            .any(|other| other.members.iter().any(|member| member.host == *host));
                         assert!(!taken, "{host} is in two groups of the log");
                     }
                     self.records.insert(name.clone(), record);
