Share what both drivers of control do with the replicated log

The driver of coordinator and that of the product's own control held twin code for proposing, syncing, settling waiters, encoding the state and taking events in batches. It is in the crate durable now (DurableLog, take_batch, encode, decode_state), with tests of its own. No change of behaviour meant: tests of both as before.

--- a/bin/control/src/driver/leader.rs
+++ b/bin/control/src/driver/leader.rs
@@ -66,20 +66,20 @@
 impl Driver {
     /// Starts or ends the leader's work when the part of the node changes.
     pub(super) fn follow_role(&mut self, now: Instant) {
-        let leads = self.node.role() == Role::Leader;
+        let leads = self.log.node.role() == Role::Leader;
         match (leads, &self.leading) {
             (true, None) => {
-                info!("event=lead term={} name={}", self.node.term(), self.name);
+                info!("event=lead term={} name={}", self.log.node.term(), self.name);
                 self.metrics.elections_won.inc();
                 self.metrics.leads.set(1);
-                let own_from = self.node.last_index();
-                self.leading = Some(Leading::new(self.node.term(), own_from, self.policy, now));
+                let own_from = self.log.node.last_index();
+                self.leading = Some(Leading::new(self.log.node.term(), own_from, self.policy, now));
             }
             (false, Some(_)) => {
-                info!("event=follow term={} name={}", self.node.term(), self.name);
+                info!("event=follow term={} name={}", self.log.node.term(), self.name);
                 self.end_leading();
             }
-            (true, Some(leading)) if self.node.elected_at() > Some(leading.since) => {
+            (true, Some(leading)) if self.log.node.elected_at() > Some(leading.since) => {
                 // It lost and won between two turns: what it learned may be out of date.
                 self.end_leading();
                 self.follow_role(now);
@@ -96,19 +96,19 @@
             subscriber.sent = None;
             let _ = subscriber.tx.try_send(ControlToEntry::NotLeader { leader });
         }
-        for (_, pending) in std::mem::take(&mut self.pending) {
-            pending.waiter.lost();
+        for waiter in self.log.take_waiters() {
+            waiter.lost();
         }
     }
 
     fn leader_address(&self) -> Option<std::net::SocketAddr> {
-        let leader = self.node.leader()?;
+        let leader = self.log.node.leader()?;
         self.peers.get(&leader).map(|peer| peer.hello.address)
     }
 
     /// Does what is due for a leader that holds the lease.
     pub(super) fn lead(&mut self, now: Instant) {
-        if !self.node.holds_lease(now) {
+        if !self.log.node.holds_lease(now) {
             return;
         }
         let wall_s = self.wall_s();
@@ -197,7 +197,7 @@
             log_command(&command);
             self.propose(&command, Waiter::Nobody);
         }
-        let last = self.node.last_index();
+        let last = self.log.node.last_index();
         if let Some(leading) = &mut self.leading {
             leading.planned_to = last;
         }
@@ -222,7 +222,7 @@
     ) {
         let mut subscriber =
             Subscriber { entry: hello.entry, address: hello.address, tx, sent: None };
-        if !self.node.holds_lease(now) {
+        if !self.log.node.holds_lease(now) {
             let leader = self.leader_address();
             let _ = subscriber.tx.try_send(ControlToEntry::NotLeader { leader });
         } else if let Some(leading) = &self.leading
@@ -239,7 +239,7 @@
         };
         let tx = subscriber.tx.clone();
         let entry = subscriber.entry.clone();
-        let (Some(leading), true) = (&mut self.leading, self.node.holds_lease(now)) else {
+        let (Some(leading), true) = (&mut self.leading, self.log.node.holds_lease(now)) else {
             let leader = self.leader_address();
             let _ = tx.try_send(ControlToEntry::NotLeader { leader });
             return;
@@ -277,7 +277,7 @@
         reply: Sender<OperatorReply>,
         now: Instant,
     ) {
-        if !self.node.holds_lease(now) {
+        if !self.log.node.holds_lease(now) {
             let _ = reply.try_send(OperatorReply::NotLeader);
             return;
         }
--- a/bin/control/src/driver/mod.rs
+++ b/bin/control/src/driver/mod.rs
@@ -17,6 +17,7 @@
         ELECTION_MAX, ELECTION_MIN, HELLO_EVERY, LEADER_LEASE, LOG_HEARTBEAT, SNAPSHOT_EVERY,
     },
 };
+use durable::{DurableLog, decode_state, encode, take_batch};
 use event::Waiter;
 use fastrand::Rng;
 use leader::Leading;
@@ -24,15 +25,12 @@
 use model::{ids::ControlId, manifest::Manifest};
 use peer::{ByteCount, ControlHello, Links, PeerMessage};
 use publisher::Subscriber;
-use replog::{Entry, Index, Node, Payload, Term, Timing};
+use replog::{Entry, Node, Payload, Timing};
 use state::{Command, Reply, State};
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{
-        Arc,
-        mpsc::{Receiver, RecvTimeoutError},
-    },
+    sync::{Arc, mpsc::Receiver},
     time::{Duration, Instant},
 };
 use store::{Loaded, Store, StoreError};
@@ -50,13 +48,6 @@
     heard: Instant,
 }
 
-/// Someone who waits for the outcome of a record.
-#[derive(Debug)]
-struct Pending {
-    term: Term,
-    waiter: Waiter,
-}
-
 /// Owns everything that must change in one order.
 #[derive(Debug)]
 pub struct Driver {
@@ -65,8 +56,7 @@
     voters_wanted: usize,
     policy: plan::Policy,
     clock: Arc<dyn Clock>,
-    node: Node,
-    store: Store,
+    log: DurableLog<Waiter>,
     state: State,
     manifest: Option<Arc<Manifest>>,
     links: Links<PeerMessage>,
@@ -74,7 +64,6 @@
     orders: Arc<dyn SendOrder>,
     metrics: ControlMetrics,
     bytes: Arc<ByteCount>,
-    pending: BTreeMap<Index, Pending>,
     subscribers: BTreeMap<SessionId, Subscriber>,
     leading: Option<Leading>,
     hello_at: Instant,
@@ -109,8 +98,7 @@
             voters_wanted: config.voters,
             policy: config.policy,
             clock,
-            node,
-            store,
+            log: DurableLog::new(node, store),
             state,
             manifest: None,
             links,
@@ -118,7 +106,6 @@
             orders,
             metrics,
             bytes,
-            pending: BTreeMap::new(),
             subscribers: BTreeMap::new(),
             leading: None,
             hello_at: now,
@@ -133,27 +120,17 @@
     ///
     /// Fails if the storage fails; the process must end then.
     pub fn run(mut self, events: &Receiver<Event>) -> Result<(), StoreError> {
-        loop {
-            match events.recv_timeout(TICK) {
-                Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return self.flush(),
-                Ok(event) => self.take(event),
-                Err(RecvTimeoutError::Timeout) => {}
-            }
-            for _ in 1..BATCH {
-                match events.try_recv() {
-                    Ok(Event::Stop) => return self.flush(),
-                    Ok(event) => self.take(event),
-                    Err(_) => break,
-                }
-            }
+        let is_stop = |event: &Event| matches!(event, Event::Stop);
+        while take_batch(events, TICK, BATCH, is_stop, |event| self.take(event)) {
             self.turn()?;
         }
+        self.flush()
     }
 
     /// Lets time pass, syncs, and does the leader's work.
     fn turn(&mut self) -> Result<(), StoreError> {
         let now = self.clock.now();
-        self.node.tick(now);
+        self.log.node.tick(now);
         self.greet(now);
         self.flush()?;
         self.follow_role(now);
@@ -168,7 +145,7 @@
         let now = self.clock.now();
         match event {
             Event::Peer(PeerMessage::Hello(hello)) => self.meet(hello, now),
-            Event::Peer(PeerMessage::Log(envelope)) => self.node.receive(envelope, now),
+            Event::Peer(PeerMessage::Log(envelope)) => self.log.node.receive(envelope, now),
             Event::EntryOpened { session, hello, tx } => self.open_entry(session, hello, tx, now),
             Event::Entry { session, message } => self.take_entry(session, message, now),
             Event::EntryClosed { session } => {
@@ -190,49 +167,34 @@
 
     /// Proposes a command for someone who waits for its outcome.
     fn propose(&mut self, command: &Command, waiter: Waiter) {
-        let encoded = bincode::serde::encode_to_vec(command, bincode::config::standard())
-            .expect("encoding into memory fails only for unsupported types");
-        match self.node.propose(encoded) {
-            Ok(index) => {
-                let term = self.node.term();
-                self.pending.insert(index, Pending { term, waiter });
-            }
-            Err(_) => waiter.lost(),
+        if let Err(waiter) = self.log.propose(encode(command), waiter) {
+            waiter.lost();
         }
     }
 
     /// Writes, syncs, sends and applies until nothing is left to do.
     fn flush(&mut self) -> Result<(), StoreError> {
-        loop {
-            let output = self.node.take_output();
-            let idle = output.writes.is_empty()
-                && output.messages.is_empty()
-                && output.committed.is_empty()
-                && output.restore.is_none();
-            if idle {
-                return Ok(());
-            }
-            if !output.writes.is_empty() {
-                self.store.write(output.writes)?;
-                self.node.written();
+        while let Some(turn) = self.log.step()? {
+            if turn.synced {
                 self.metrics.syncs.inc();
-                self.metrics.log_bytes.set(self.store.log_bytes() as i64);
+                self.metrics.log_bytes.set(self.log.log_bytes() as i64);
             }
-            for envelope in output.messages {
+            for envelope in turn.messages {
                 if let Some(peer) = self.peers.get(&envelope.to) {
                     self.links.send(peer.hello.address, PeerMessage::Log(envelope));
                 }
             }
-            if let Some(snapshot) = output.restore {
+            if let Some(snapshot) = turn.restore {
                 self.state = decode_state(&snapshot.data);
                 self.read_manifest();
                 info!("event=snapshot_installed index={}", snapshot.index);
             }
-            for entry in output.committed {
+            for entry in turn.committed {
                 self.apply(entry);
             }
             self.compact();
         }
+        Ok(())
     }
 
     fn apply(&mut self, entry: Entry) {
@@ -258,29 +220,23 @@
         if let Some(leading) = &mut self.leading {
             leading.changed = true;
         }
-        // Waiters of records that another leader replaced must not take this outcome.
-        while let Some(first) = self.pending.first_entry() {
-            if *first.key() > index {
-                break;
-            }
-            let (at, pending) = first.remove_entry();
-            if at == index && pending.term == term {
-                pending.waiter.applied(&reply, &self.state);
+        for (waiter, own) in self.log.settle(index, term) {
+            if own {
+                waiter.applied(&reply, &self.state);
             } else {
-                pending.waiter.lost();
+                waiter.lost();
             }
         }
     }
 
     fn compact(&mut self) {
         let applied = self.state.applied;
-        if applied < self.node.snapshot_index() + SNAPSHOT_EVERY {
+        if applied < self.log.node.snapshot_index() + SNAPSHOT_EVERY {
             return;
         }
-        let data = bincode::serde::encode_to_vec(&self.state, bincode::config::standard())
-            .expect("encoding into memory fails only for unsupported types");
+        let data = encode(&self.state);
         info!("event=compact index={applied} state_bytes={}", data.len());
-        self.node.compact(applied, data);
+        self.log.node.compact(applied, data);
     }
 
     fn read_manifest(&mut self) {
@@ -303,10 +259,10 @@
         }
         self.hello_at = now + HELLO_EVERY;
         let hello = ControlHello {
-            id: self.node.id(),
+            id: self.log.node.id(),
             name: self.name.clone(),
             address: self.address,
-            empty: self.node.is_empty(),
+            empty: self.log.node.is_empty(),
         };
         self.links.broadcast(&PeerMessage::Hello(hello));
         self.bootstrap_if_first();
@@ -320,16 +276,16 @@
         let all_empty = self.peers.values().all(|peer| peer.hello.empty);
         let all_there = self.peers.len() == self.links.len();
         let lowest = self.peers.values().all(|peer| self.address < peer.hello.address);
-        if !self.node.is_empty() || !all_empty || !all_there || !lowest {
+        if !self.log.node.is_empty() || !all_empty || !all_there || !lowest {
             return;
         }
         let mut founders: Vec<(SocketAddr, ControlId)> =
             self.peers.values().map(|peer| (peer.hello.address, peer.hello.id)).collect();
-        founders.push((self.address, self.node.id()));
+        founders.push((self.address, self.log.node.id()));
         founders.sort_unstable();
         let voters = founders.iter().take(self.voters_wanted).map(|(_, id)| *id).collect();
         info!("event=bootstrap voters={}", self.voters_wanted);
-        self.node.bootstrap(voters);
+        self.log.node.bootstrap(voters);
     }
 
     fn meet(&mut self, hello: ControlHello, now: Instant) {
@@ -341,14 +297,14 @@
             .collect();
         for id in replaced {
             self.peers.remove(&id);
-            self.node.remove_learner(id);
+            self.log.node.remove_learner(id);
         }
-        self.node.add_learner(hello.id, now);
+        self.log.node.add_learner(hello.id, now);
         self.peers.insert(hello.id, Peer { hello, heard: now });
     }
 
     fn name_of(&self, id: ControlId) -> String {
-        if id == self.node.id() {
+        if id == self.log.node.id() {
             return self.name.to_string();
         }
         match self.peers.get(&id) {
@@ -357,12 +313,3 @@
         }
     }
 }
-
-fn decode_state(data: &[u8]) -> State {
-    if data.is_empty() {
-        return State::default();
-    }
-    bincode::serde::decode_from_slice(data, bincode::config::standard())
-        .expect("a snapshot that passed its checksum is readable")
-        .0
-}
--- a/bin/control/src/driver/report.rs
+++ b/bin/control/src/driver/report.rs
@@ -28,8 +28,8 @@
         let (hosts_live, accelerators_live) = self.live_hosts();
         Status {
             leader: self.name.clone(),
-            term: self.node.term(),
-            commit: self.node.commit(),
+            term: self.log.node.term(),
+            commit: self.log.node.commit(),
             controls: self.control_statuses(now),
             manifest: self.state.manifest.as_ref().map(|accepted| ManifestStatus {
                 number: accepted.number,
@@ -95,23 +95,23 @@
             .collect();
         json!({
             "name": self.name,
-            "id": format!("{:016x}", self.node.id()),
-            "role": format!("{:?}", self.node.role()),
-            "term": self.node.term(),
-            "commit": self.node.commit(),
-            "last_index": self.node.last_index(),
-            "snapshot_index": self.node.snapshot_index(),
-            "voters": self.node.voters().iter().map(|id| format!("{id:016x}")).collect::<Vec<_>>(),
-            "holds_lease": self.node.holds_lease(now),
+            "id": format!("{:016x}", self.log.node.id()),
+            "role": format!("{:?}", self.log.node.role()),
+            "term": self.log.node.term(),
+            "commit": self.log.node.commit(),
+            "last_index": self.log.node.last_index(),
+            "snapshot_index": self.log.node.snapshot_index(),
+            "voters": self.log.node.voters().iter().map(|id| format!("{id:016x}")).collect::<Vec<_>>(),
+            "holds_lease": self.log.node.holds_lease(now),
             "has_learned": self.leading.as_ref().is_some_and(|leading| leading.has_learned()),
             "manifest": self.state.manifest.as_ref().map(|accepted| accepted.number),
             "groups": self.group_statuses(now),
             "hosts": orders,
             "claims": self.state.claims.len(),
-            "pending": self.pending.len(),
+            "pending": self.log.waiting(),
             "peers": peers,
             "subscribers": self.subscribers.values().map(|subscriber| &subscriber.entry).collect::<Vec<_>>(),
-            "log_bytes": self.store.log_bytes(),
+            "log_bytes": self.log.log_bytes(),
         })
     }
 
@@ -142,17 +142,17 @@
     }
 
     fn control_statuses(&self, now: Instant) -> Vec<ControlStatus> {
-        let last = self.node.last_index();
-        let own: ControlId = self.node.id();
-        let mut ids: Vec<ControlId> = self.node.progress().keys().copied().collect();
+        let last = self.log.node.last_index();
+        let own: ControlId = self.log.node.id();
+        let mut ids: Vec<ControlId> = self.log.node.progress().keys().copied().collect();
         ids.push(own);
         ids.into_iter()
             .map(|id| {
-                let progress = self.node.progress().get(&id);
+                let progress = self.log.node.progress().get(&id);
                 ControlStatus {
                     id,
                     name: self.name_of(id).into(),
-                    voter: self.node.voters().contains(&id),
+                    voter: self.log.node.voters().contains(&id),
                     lag: progress.map_or(0, |progress| last.saturating_sub(progress.matched)),
                     silent_ms: progress.map_or(0, |progress| millis(now, progress.heard)),
                 }
--- a/crates/coordinator/src/driver.rs
+++ b/crates/coordinator/src/driver.rs
@@ -15,6 +15,7 @@
     clock::Clock,
     limits::{ELECTION_MAX, ELECTION_MIN, LEADER_LEASE, LOG_HEARTBEAT},
 };
+use durable::{DurableLog, decode_state, encode, take_batch};
 use fastrand::Rng;
 use fleet::{ControlGossip, ControlMessage, GroupChange, LogMessage};
 use groups::Limits;
@@ -22,14 +23,11 @@
 use model::ids::ControlId;
 use net::Pool;
 use peer::Links;
-use replog::{Entry, Index, Node, Payload, Role, Term, Timing};
+use replog::{Entry, Index, Node, Payload, Role, Timing};
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{
-        Arc,
-        mpsc::{Receiver, RecvTimeoutError},
-    },
+    sync::{Arc, mpsc::Receiver},
     time::{Duration, Instant},
 };
 use store::{Loaded, Store, StoreError};
@@ -70,19 +68,11 @@
     pub(crate) heard: Instant,
 }
 
-/// Someone who waits for the outcome of a record.
-#[derive(Debug)]
-struct Pending {
-    term: Term,
-    reply: Option<Sender<Reply>>,
-}
-
 /// Owns everything that must change in one order.
 pub struct Driver {
     pub(crate) config: Config,
     pub(crate) clock: Arc<dyn Clock>,
-    pub(crate) node: Node,
-    pub(crate) store: Store,
+    pub(crate) log: DurableLog<Option<Sender<Reply>>>,
     pub(crate) ledger: Ledger,
     pub(crate) links: Links<LogMessage>,
     pub(crate) peers: BTreeMap<ControlId, Peer>,
@@ -90,7 +80,6 @@
     pub(crate) pool: Pool,
     pub(crate) handle: Handle,
     pub(crate) counters: Counters,
-    pending: BTreeMap<Index, Pending>,
     pub(crate) entries: BTreeMap<SessionId, Sender<ControlMessage>>,
     pub(crate) leading: Option<Leading>,
     pub(crate) gossip_at: Instant,
@@ -124,13 +113,12 @@
             replace_after: REPLACE_AFTER,
         };
         let now = clock.now();
-        let ledger = decode_ledger(&loaded.restored.snapshot.data);
+        let ledger = decode_state(&loaded.restored.snapshot.data);
         let node = Node::new(loaded.identity, timing, loaded.restored, Rng::new(), now);
         let mut driver = Driver {
             config,
             clock,
-            node,
-            store,
+            log: DurableLog::new(node, store),
             ledger,
             links,
             peers: BTreeMap::new(),
@@ -138,7 +126,6 @@
             pool,
             handle,
             counters,
-            pending: BTreeMap::new(),
             entries: BTreeMap::new(),
             leading: None,
             gossip_at: now,
@@ -155,27 +142,17 @@
     ///
     /// Fails if the storage fails; the process must end then.
     pub fn run(mut self, events: &Receiver<Event>) -> Result<(), StoreError> {
-        loop {
-            match events.recv_timeout(TICK) {
-                Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return self.flush(),
-                Ok(event) => self.take(event),
-                Err(RecvTimeoutError::Timeout) => {}
-            }
-            for _ in 1..BATCH {
-                match events.try_recv() {
-                    Ok(Event::Stop) => return self.flush(),
-                    Ok(event) => self.take(event),
-                    Err(_) => break,
-                }
-            }
+        let is_stop = |event: &Event| matches!(event, Event::Stop);
+        while take_batch(events, TICK, BATCH, is_stop, |event| self.take(event)) {
             self.turn()?;
         }
+        self.flush()
     }
 
     /// Lets time pass, syncs, and does the leader's work.
     fn turn(&mut self) -> Result<(), StoreError> {
         let now = self.clock.now();
-        self.node.tick(now);
+        self.log.node.tick(now);
         self.gossip(now);
         self.flush()?;
         self.follow_role(now);
@@ -190,7 +167,7 @@
         let now = self.clock.now();
         match event {
             Event::Peer(LogMessage::Gossip(gossip)) => self.meet(gossip, now),
-            Event::Peer(LogMessage::Log(envelope)) => self.node.receive(envelope, now),
+            Event::Peer(LogMessage::Log(envelope)) => self.log.node.receive(envelope, now),
             Event::EntryOpened { session, tx } => self.open_entry(session, tx, now),
             Event::Entry { session, message } => self.take_entry(session, message, now),
             Event::EntryClosed { session } => self.close_entry(session),
@@ -212,7 +189,7 @@
     }
 
     fn take_call(&mut self, call: Call, reply: Sender<Reply>, now: Instant) {
-        if !self.node.holds_lease(now) {
+        if !self.log.node.holds_lease(now) {
             let leader = self.leader().map(|gossip| gossip.public_address);
             let _ = reply.try_send(Reply::NotLeader(leader));
             return;
@@ -233,53 +210,38 @@
 
     /// The leader, as it introduced itself, if it is another process.
     pub(crate) fn leader(&self) -> Option<&ControlGossip> {
-        let leader = self.node.leader()?;
+        let leader = self.log.node.leader()?;
         self.peers.get(&leader).map(|peer| &peer.gossip)
     }
 
     pub(crate) fn propose(&mut self, command: &Command, reply: Option<Sender<Reply>>) {
-        let encoded = bincode::serde::encode_to_vec(command, bincode::config::standard())
-            .expect("encoding into memory fails only for unsupported types");
-        match self.node.propose(encoded) {
-            Ok(index) => {
-                let term = self.node.term();
-                self.pending.insert(index, Pending { term, reply });
-            }
-            Err(_) => answer(reply, Reply::NotLeader(None)),
+        if let Err(reply) = self.log.propose(encode(command), reply) {
+            answer(reply, Reply::NotLeader(None));
         }
     }
 
     /// Writes, syncs, sends and applies until nothing is left to do.
     fn flush(&mut self) -> Result<(), StoreError> {
-        loop {
-            let output = self.node.take_output();
-            let idle = output.writes.is_empty()
-                && output.messages.is_empty()
-                && output.committed.is_empty()
-                && output.restore.is_none();
-            if idle {
-                return Ok(());
-            }
-            if !output.writes.is_empty() {
-                self.store.write(output.writes)?;
-                self.node.written();
+        while let Some(turn) = self.log.step()? {
+            if turn.synced {
                 self.counters.syncs.inc();
-                self.counters.log_bytes.set(self.store.log_bytes() as i64);
+                self.counters.log_bytes.set(self.log.log_bytes() as i64);
             }
-            for envelope in output.messages {
+            for envelope in turn.messages {
                 if let Some(peer) = self.peers.get(&envelope.to) {
                     self.links.send(peer.gossip.peer_address, LogMessage::Log(envelope));
                 }
             }
-            if let Some(snapshot) = output.restore {
-                self.ledger = decode_ledger(&snapshot.data);
+            if let Some(snapshot) = turn.restore {
+                self.ledger = decode_state(&snapshot.data);
                 info!("event=snapshot_installed index={}", snapshot.index);
             }
-            for entry in output.committed {
+            for entry in turn.committed {
                 self.apply(entry);
             }
             self.compact();
         }
+        Ok(())
     }
 
     fn apply(&mut self, entry: Entry) {
@@ -293,14 +255,9 @@
             }
             Payload::Empty => self.ledger.applied = index,
         }
-        // Waiters of records that another leader replaced must not take this outcome.
-        while let Some(first) = self.pending.first_entry() {
-            if *first.key() > index {
-                break;
-            }
-            let (at, pending) = first.remove_entry();
-            match pending.reply {
-                Some(reply) if at == index && pending.term == term => self.answer_applied(reply),
+        for (reply, own) in self.log.settle(index, term) {
+            match reply {
+                Some(reply) if own => self.answer_applied(reply),
                 reply => answer(reply, Reply::NotLeader(None)),
             }
         }
@@ -334,24 +291,23 @@
     }
 
     fn compact(&mut self) {
-        if self.store.log_bytes() < LOG_BYTES_MAX
-            || self.ledger.applied <= self.node.snapshot_index()
+        if self.log.log_bytes() < LOG_BYTES_MAX
+            || self.ledger.applied <= self.log.node.snapshot_index()
         {
             return;
         }
-        let data = bincode::serde::encode_to_vec(&self.ledger, bincode::config::standard())
-            .expect("encoding into memory fails only for unsupported types");
+        let data = encode(&self.ledger);
         info!("event=compact index={} state_bytes={}", self.ledger.applied, data.len());
-        self.node.compact(self.ledger.applied, data);
+        self.log.node.compact(self.ledger.applied, data);
     }
 
     fn follow_role(&mut self, now: Instant) {
         let current = self.leading.as_ref().map(|leading| leading.since);
         // Before its first record is committed a leader's ledger may lack the last changes.
-        let leads =
-            self.node.role() == Role::Leader && (current.is_some() || self.node.holds_lease(now));
+        let leads = self.log.node.role() == Role::Leader
+            && (current.is_some() || self.log.node.holds_lease(now));
         match (leads, current) {
-            (true, Some(since)) if self.node.elected_at() > Some(since) => {
+            (true, Some(since)) if self.log.node.elected_at() > Some(since) => {
                 // It lost and won between two turns: what it learned may be out of date.
                 self.end_leading();
                 self.start_leading(now);
@@ -363,10 +319,8 @@
     }
 
     pub(crate) fn fail_pending(&mut self) {
-        for (_, pending) in std::mem::take(&mut self.pending) {
-            // The record may still be committed by the next leader.
-            drop(pending.reply);
-        }
+        // Without an answer: the records may still be committed by the next leader.
+        drop(self.log.take_waiters().collect::<Vec<_>>());
     }
 }
 
@@ -386,12 +340,3 @@
         Command::Group(GroupChange::Ended { .. }) => "group_ended",
     }
 }
-
-fn decode_ledger(data: &[u8]) -> Ledger {
-    if data.is_empty() {
-        return Ledger::default();
-    }
-    bincode::serde::decode_from_slice(data, bincode::config::standard())
-        .expect("a snapshot that passed its checksum is readable")
-        .0
-}
--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader.rs
@@ -97,14 +97,14 @@
 
 impl Driver {
     pub(crate) fn start_leading(&mut self, now: Instant) {
-        info!("event=lead term={} manifest={}", self.node.term(), self.ledger.number());
+        info!("event=lead term={} manifest={}", self.log.node.term(), self.ledger.number());
         self.counters.elections_won.inc();
         self.counters.leads.set(1);
         self.leading = Some(Leading {
             since: now,
             registry: Registry::default(),
             planner: Planner::resume(
-                self.node.term(),
+                self.log.node.term(),
                 self.config.limits.clone(),
                 &self.ledger.groups,
                 now,
@@ -132,7 +132,7 @@
     /// Asks the members of all groups how they are: they report in their own time, and
     /// entries that know nothing wait for this leader.
     fn ask_members(&self) {
-        let term = self.node.term();
+        let term = self.log.node.term();
         for member in self.ledger.groups.values().flat_map(|record| &record.members).cloned() {
             let asked = self.orders.ask(&member.host, member.address);
             let handle = self.handle.clone();
@@ -152,7 +152,7 @@
         state: Option<HostState>,
         now: Instant,
     ) {
-        let own_term = self.node.term();
+        let own_term = self.log.node.term();
         let Some(leading) = self.leading.as_mut().filter(|_| term == own_term) else {
             return;
         };
@@ -170,7 +170,7 @@
     }
 
     pub(crate) fn end_leading(&mut self) {
-        info!("event=follow term={}", self.node.term());
+        info!("event=follow term={}", self.log.node.term());
         self.leading = None;
         self.counters.leads.set(0);
         self.fail_pending();
@@ -239,7 +239,7 @@
         now: Instant,
     ) {
         match &self.leading {
-            Some(leading) if self.node.holds_lease(now) => {
+            Some(leading) if self.log.node.holds_lease(now) => {
                 if let Some(manifest) = &leading.manifest {
                     push(&tx, ControlMessage::Manifest(manifest.clone()));
                 }
@@ -266,7 +266,7 @@
     pub(crate) fn take_entry(&mut self, session: SessionId, message: EntryMessage, now: Instant) {
         let EntryMessage::Status(status) = message;
         match &mut self.leading {
-            Some(leading) if self.node.holds_lease(now) => {
+            Some(leading) if self.log.node.holds_lease(now) => {
                 let before = leading.entries.get(&session);
                 let differs = before.is_none_or(|(before, _)| before.accepts != status.accepts);
                 if differs {
@@ -349,7 +349,7 @@
             leading.registry.suspect(&outcome.order.host);
         }
         // An order of an earlier term must not settle one of this term.
-        if outcome.order.fence == self.node.term() {
+        if outcome.order.fence == self.log.node.term() {
             leading.planner.outcome(outcome, now);
             leading.changed = true;
         }
@@ -357,7 +357,7 @@
 
     /// Does what is due for a leader that holds the lease.
     pub(crate) fn lead(&mut self, now: Instant) {
-        if !self.node.holds_lease(now) {
+        if !self.log.node.holds_lease(now) {
             return;
         }
         let known = self.known();
--- a/crates/coordinator/src/membership.rs
+++ b/crates/coordinator/src/membership.rs
@@ -23,7 +23,7 @@
         self.gossip_at = now + HELLO_EVERY;
         self.forget_peers(now);
         let gossip = ControlGossip {
-            id: self.node.id(),
+            id: self.log.node.id(),
             name: self.config.name.clone(),
             peer_address: self.config.peer_address,
             public_address: self.config.public_address,
@@ -35,7 +35,7 @@
     }
 
     fn may_found(&self) -> bool {
-        self.config.may_found && self.node.is_empty()
+        self.config.may_found && self.log.node.is_empty()
     }
 
     /// The seed with the lowest address starts a new log, once it has heard of all seeds
@@ -45,7 +45,7 @@
         if !self.may_found() || !lowest {
             return;
         }
-        let mut voters = replog::Voters::from([self.node.id()]);
+        let mut voters = replog::Voters::from([self.log.node.id()]);
         for seed in &self.config.seeds {
             let founder = |peer: &&Peer| peer.gossip.peer_address == *seed && peer.gossip.may_found;
             match self.peers.values().find(founder) {
@@ -55,7 +55,7 @@
             };
         }
         info!("event=found voters={}", voters.len());
-        self.node.bootstrap(voters);
+        self.log.node.bootstrap(voters);
     }
 
     pub(crate) fn meet(&mut self, gossip: ControlGossip, now: Instant) {
@@ -70,13 +70,13 @@
         for id in replaced {
             info!("event=peer_replaced old={id:016x} new={:016x}", gossip.id);
             self.peers.remove(&id);
-            self.node.remove_learner(id);
+            self.log.node.remove_learner(id);
         }
         self.link_to(gossip.peer_address);
         for address in &gossip.known {
             self.link_to(*address);
         }
-        self.node.add_learner(gossip.id, now);
+        self.log.node.add_learner(gossip.id, now);
         if !self.peers.contains_key(&gossip.id) {
             info!("event=peer_met id={:016x} name={}", gossip.id, gossip.name);
         }
@@ -98,7 +98,7 @@
             .collect();
         for (id, address) in silent {
             self.peers.remove(&id);
-            self.node.remove_learner(id);
+            self.log.node.remove_learner(id);
             if !self.config.seeds.contains(&address) {
                 self.links.remove(address);
             }
@@ -120,16 +120,16 @@
             .collect();
         json!({
             "name": self.config.name,
-            "id": format!("{:016x}", self.node.id()),
-            "role": format!("{:?}", self.node.role()),
-            "term": self.node.term(),
-            "commit": self.node.commit(),
-            "voters": self.node.voters().iter().map(|id| format!("{id:016x}")).collect::<Vec<_>>(),
-            "holds_lease": self.node.holds_lease(now),
+            "id": format!("{:016x}", self.log.node.id()),
+            "role": format!("{:?}", self.log.node.role()),
+            "term": self.log.node.term(),
+            "commit": self.log.node.commit(),
+            "voters": self.log.node.voters().iter().map(|id| format!("{id:016x}")).collect::<Vec<_>>(),
+            "holds_lease": self.log.node.holds_lease(now),
             "manifest": self.ledger.number(),
             "domains_out": self.ledger.domains_out,
             "peers": peers,
-            "log_bytes": self.store.log_bytes(),
+            "log_bytes": self.log.log_bytes(),
             "leading": self.leading.as_ref().map(|leading| leading.dump(now)),
         })
     }
--- /dev/null
+++ b/crates/durable/tests/log.rs
@@ -0,0 +1,97 @@
+//! A log of one voter on a disk.
+
+use durable::{DurableLog, decode_state, encode, take_batch};
+use googletest::prelude::*;
+use replog::{Node, Payload, Timing, Voters};
+use std::{
+    sync::mpsc,
+    time::{Duration, Instant},
+};
+use store::Store;
+
+const MS: Duration = Duration::from_millis(1);
+
+/// A log of one voter that leads.
+fn leading(dir: &std::path::Path) -> DurableLog<&'static str> {
+    let now = Instant::now();
+    let (store, loaded) = Store::open(dir, 7).expect("an empty folder");
+    let timing = Timing {
+        heartbeat: MS * 100,
+        election_min: MS * 500,
+        election_max: MS * 1000,
+        lease: MS * 450,
+        replace_after: MS * 2000,
+    };
+    let rng = fastrand::Rng::with_seed(1);
+    let mut node = Node::new(loaded.identity, timing, loaded.restored, rng, now);
+    node.bootstrap(Voters::from([node.id()]));
+    let mut log = DurableLog::new(node, store);
+    log.node.tick(now + MS * 1500);
+    while log.step().expect("the disk works").is_some() {}
+    log
+}
+
+fn committed(log: &mut DurableLog<&'static str>) -> Vec<(u64, u64, Payload)> {
+    let mut entries = Vec::new();
+    while let Some(turn) = log.step().expect("the disk works") {
+        entries.extend(turn.committed.into_iter().map(|e| (e.index, e.term, e.payload)));
+    }
+    entries
+}
+
+#[gtest]
+fn settle_answers_those_whose_record_was_applied() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let mut log = leading(dir.path());
+    expect_true!(log.propose(encode(&"one"), "first").is_ok());
+    expect_true!(log.propose(encode(&"two"), "second").is_ok());
+    expect_that!(log.waiting(), eq(2));
+    let entries = committed(&mut log);
+    let (index, term, _) = entries[entries.len() - 2];
+    expect_that!(log.settle(index, term), elements_are![eq(&("first", true))]);
+    expect_that!(log.settle(index + 1, term + 1), elements_are![eq(&("second", false))]);
+    expect_that!(log.waiting(), eq(0));
+    expect_that!(log.log_bytes(), gt(0));
+}
+
+#[gtest]
+fn propose_gives_the_waiter_back_where_nobody_leads() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let (store, loaded) = Store::open(dir.path(), 7).expect("an empty folder");
+    let timing = Timing {
+        heartbeat: MS * 100,
+        election_min: MS * 500,
+        election_max: MS * 1000,
+        lease: MS * 450,
+        replace_after: MS * 2000,
+    };
+    let rng = fastrand::Rng::with_seed(1);
+    let node = Node::new(loaded.identity, timing, loaded.restored, rng, Instant::now());
+    let mut log = DurableLog::new(node, store);
+    expect_that!(log.propose(vec![1], "waiter"), err(eq(&"waiter")));
+}
+
+#[gtest]
+fn decode_state_reads_what_was_encoded() {
+    let state: Vec<String> = decode_state(&[]);
+    expect_that!(state, is_empty());
+    let held = vec!["a".to_owned()];
+    expect_that!(decode_state::<Vec<String>>(&encode(&held)), eq(&held));
+}
+
+#[gtest]
+fn take_batch_ends_with_the_stop_or_the_senders() {
+    let (tx, rx) = mpsc::channel();
+    let mut taken = Vec::new();
+    for event in [1, 2, 3, 0, 4] {
+        tx.send(event).expect("the receiver is there");
+    }
+    let is_stop = |event: &i32| *event == 0;
+    expect_true!(take_batch(&rx, MS, 2, is_stop, |event| taken.push(event)));
+    expect_false!(take_batch(&rx, MS, 9, is_stop, |event| taken.push(event)));
+    expect_that!(taken, eq(&vec![1, 2, 3]));
+    expect_true!(take_batch(&rx, MS, 9, is_stop, |_| ()), "one event is left");
+    expect_true!(take_batch(&rx, MS, 9, is_stop, |_| ()), "a tick passes");
+    drop(tx);
+    expect_false!(take_batch(&rx, MS, 9, is_stop, |_| ()));
+}
