Let the planner look at each fabric domain once; histograms of an entry and of planning

Each load and each new group looked again at all groups, loads and fabric domains. Now candidates are kept by fabric domain and looked at again only where something was taken, and a pass is followed by a rest of five times its length.

Histograms: time to a place, to the first event, to the end of an answer, to a refusal, and of a pass of the planner.

--- a/crates/base/src/metrics.rs
+++ b/crates/base/src/metrics.rs
@@ -1,9 +1,13 @@
-//! Registration of counters and gauges under the common prefix.
+//! Registration of counters, gauges and histograms under the common prefix.
 
 use crate::sync::lock;
 use prometheus_client::{
     encoding::text::encode,
-    metrics::{counter::Counter, gauge::Gauge},
+    metrics::{
+        counter::Counter,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
     registry::Registry,
 };
 use std::{fmt, sync::Mutex};
@@ -40,6 +44,13 @@
         gauge
     }
 
+    /// Registers a histogram of times in seconds, from 1 ms to 16 s.
+    pub fn histogram(&self, name: &str, help: &str) -> Histogram {
+        let histogram = Histogram::new(exponential_buckets(0.001, 2.0, 15));
+        self.lock().register(name, help, histogram.clone());
+        histogram
+    }
+
     /// The metrics in the text format of Prometheus.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader.rs
@@ -26,6 +26,9 @@
 
 /// Shortest time between two passes of the planner.
 const PLAN_PAUSE: Duration = Duration::from_millis(20);
+/// Shortest time between two passes, in times of the last one: planning leaves most of the
+/// processor to reports and the log, however many hosts there are.
+const PLAN_REST: u32 = 5;
 /// Longest time between two passes of the planner.
 const PLAN_EVERY: Duration = Duration::from_millis(200);
 /// How often entries hear from a leader that has nothing new.
@@ -61,6 +64,8 @@
     view_at: Instant,
     alive_at: Instant,
     plan_at: Instant,
+    /// No pass before this time.
+    plan_rest: Instant,
     changed: bool,
     traffic: bool,
     /// Whether groups of an earlier leader exist.
@@ -121,6 +126,7 @@
             view_at: now,
             alive_at: now,
             plan_at: now,
+            plan_rest: now,
             changed: true,
             traffic: false,
             after_view: Vec::new(),
@@ -371,13 +377,13 @@
         };
         leading.expire_entries(now);
         let learned = now >= leading.since + learn;
-        let due = (leading.changed && now >= leading.plan_at + PLAN_PAUSE)
-            || now >= leading.plan_at + PLAN_EVERY;
-        if due && (learned || leading.resumes) {
+        let due = leading.changed || now >= leading.plan_at + PLAN_EVERY;
+        if due && now >= leading.plan_rest && (learned || leading.resumes) {
             leading.plan_at = now;
             leading.changed = false;
             self.plan(now);
             self.publish(learned, now);
+            self.rest_after_plan(now);
         }
         self.account(now);
         let Some(leading) = &mut self.leading else {
@@ -404,6 +410,14 @@
         }
     }
 
+    fn rest_after_plan(&mut self, began: Instant) {
+        let took = self.clock.now().saturating_duration_since(began);
+        self.counters.plan_seconds.observe(took.as_secs_f64());
+        if let Some(leading) = &mut self.leading {
+            leading.plan_rest = began + PLAN_PAUSE.max(took * PLAN_REST);
+        }
+    }
+
     fn plan(&mut self, now: Instant) {
         let Some(leading) = &mut self.leading else {
             return;
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use base::metrics::Metrics;
 use groups::HostUse;
-use prometheus_client::metrics::{counter::Counter, gauge::Gauge};
+use prometheus_client::metrics::{counter::Counter, gauge::Gauge, histogram::Histogram};
 use std::{collections::BTreeMap, time::Duration};
 
 /// Counters and gauges of a control process.
@@ -17,6 +17,7 @@
     pub(crate) orders: Counter,
     pub(crate) orders_failed: Counter,
     pub(crate) views: Counter,
+    pub(crate) plan_seconds: Histogram,
     pub(crate) groups_serving: Gauge,
     pub(crate) sessions_refused: Counter,
     host_ms: BTreeMap<HostUse, Counter>,
@@ -43,6 +44,7 @@
             orders: counter("orders_sent", "orders sent to hosts"),
             orders_failed: counter("orders_failed", "orders that were refused or not answered"),
             views: counter("views_published", "routing views published"),
+            plan_seconds: metrics.histogram("plan_seconds", "time of a pass of the planner"),
             groups_serving: metrics.gauge("groups_serving", "groups that serve"),
             host_ms: HostUse::ALL
                 .into_iter()
--- a/crates/durable/tests/log.rs
+++ b/crates/durable/tests/log.rs
@@ -68,7 +68,7 @@
     let rng = fastrand::Rng::with_seed(1);
     let node = Node::new(loaded.identity, timing, loaded.restored, rng, Instant::now());
     let mut log = DurableLog::new(node, store);
-    expect_that!(log.propose(vec![1], "waiter"), err(eq(&"waiter")));
+    expect_that!(log.propose(vec![1], "waiter"), err(eq("waiter")));
 }
 
 #[gtest]
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -162,6 +162,7 @@
             _ => self.counters.failed.inc(),
         };
         let took = self.shared.clock.now().saturating_duration_since(began);
+        self.counters.refusal_seconds.observe(took.as_secs_f64());
         info!(
             "event=refused id={id} cause={} ran={} retry_ms={} took_ms={} view_age_ms={}",
             refusal.word(),
@@ -352,6 +353,10 @@
         };
         self.dialect.prepare(request.headers_mut(), &pass);
         self.shared.note_served();
+        if job.tries == 1 {
+            let placed = now().saturating_duration_since(job.began);
+            self.counters.place_seconds.observe(placed.as_secs_f64());
+        }
         let response = connection
             .send(request)
             .await
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,9 +1,9 @@
-//! Counters of an entry.
+//! Counters and histograms of an entry.
 
 use base::metrics::Metrics;
-use prometheus_client::metrics::{counter::Counter, gauge::Gauge};
+use prometheus_client::metrics::{counter::Counter, gauge::Gauge, histogram::Histogram};
 
-/// Counters of an entry.
+/// Counters and histograms of an entry.
 #[derive(Debug, Clone)]
 pub struct Counters {
     pub(crate) requests: Counter,
@@ -15,6 +15,10 @@
     pub(crate) foreign: Counter,
     pub(crate) left: Counter,
     pub(crate) view_replicas: Gauge,
+    pub(crate) first_seconds: Histogram,
+    pub(crate) answer_seconds: Histogram,
+    pub(crate) refusal_seconds: Histogram,
+    pub(crate) place_seconds: Histogram,
 }
 
 impl Counters {
@@ -31,6 +35,22 @@
             foreign: counter("foreign_answers", "answers that belong to another request"),
             left: counter("callers_left", "callers that left before the end of their answer"),
             view_replicas: metrics.gauge("view_replicas", "backend servers in the routing view"),
+            first_seconds: metrics.histogram(
+                "first_event_seconds",
+                "time from a request's arrival to the first event of its stream",
+            ),
+            answer_seconds: metrics.histogram(
+                "answer_seconds",
+                "time from a request's arrival to the end of its answer",
+            ),
+            refusal_seconds: metrics.histogram(
+                "refusal_seconds",
+                "time from a request's arrival to its refusal or failure",
+            ),
+            place_seconds: metrics.histogram(
+                "place_seconds",
+                "time from a request's arrival until it is sent to a backend server",
+            ),
         }
     }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -238,6 +238,11 @@
     fn finish(&mut self) {
         self.ended = true;
         let took = self.gateway.shared.clock.now().saturating_duration_since(self.job.began);
+        self.gateway.counters.answer_seconds.observe(took.as_secs_f64());
+        if let Some(first) = self.pace.first {
+            let waited = first.saturating_duration_since(self.job.began);
+            self.gateway.counters.first_seconds.observe(waited.as_secs_f64());
+        }
         info!(
             "event=answered id={} status=200 tries={} took_ms={} first_ms={} pause_ms={}",
             self.job.ask.id,
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -68,6 +68,7 @@
         }
         strip_hop_headers(&mut parts.headers);
         let took = self.shared.clock.now().saturating_duration_since(job.began);
+        self.counters.answer_seconds.observe(took.as_secs_f64());
         info!(
             "event=answered id={} status={} tries={} took_ms={}",
             job.ask.id,
--- a/crates/groups/src/placement.rs
+++ b/crates/groups/src/placement.rs
@@ -12,6 +12,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct FreeHost {
     pub(crate) host: HostId,
+    pub(crate) domain: DomainId,
     pub(crate) last_model: Option<ModelId>,
     pub(crate) staged: Vec<ModelId>,
 }
@@ -40,10 +41,11 @@
 }
 
 /// Hosts for a group, the head first.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Candidate {
     pub(crate) model: ModelId,
     pub(crate) fabric: FabricId,
+    pub(crate) domain: DomainId,
     pub(crate) hosts: Vec<HostId>,
     pub(crate) time: Duration,
 }
@@ -51,35 +53,45 @@
 /// Where groups are.
 #[derive(Debug, Default)]
 pub(crate) struct Spread {
-    /// Groups of each model.
-    pub(crate) of_model: BTreeMap<ModelId, usize>,
-    /// Groups of each model in a fabric domain.
-    pub(crate) in_fabric: BTreeMap<(FabricId, ModelId), usize>,
-    /// Groups of each model in a failure domain.
-    pub(crate) in_domain: BTreeMap<(DomainId, ModelId), usize>,
+    of_model: BTreeMap<ModelId, usize>,
+    in_fabric: BTreeMap<FabricId, BTreeMap<ModelId, usize>>,
+    in_domain: BTreeMap<DomainId, BTreeMap<ModelId, usize>>,
 }
 
 impl Spread {
-    /// Counts a group.
-    pub(crate) fn add(&mut self, model: &ModelId, fabric: &FabricId, domain: &DomainId) {
+    /// Counts a group, at its place if that is known.
+    pub(crate) fn add(&mut self, model: &ModelId, place: Option<(&FabricId, &DomainId)>) {
         *self.of_model.entry(model.clone()).or_default() += 1;
-        *self.in_fabric.entry((fabric.clone(), model.clone())).or_default() += 1;
-        *self.in_domain.entry((domain.clone(), model.clone())).or_default() += 1;
+        if let Some((fabric, domain)) = place {
+            let fabric = self.in_fabric.entry(fabric.clone()).or_default();
+            *fabric.entry(model.clone()).or_default() += 1;
+            let domain = self.in_domain.entry(domain.clone()).or_default();
+            *domain.entry(model.clone()).or_default() += 1;
+        }
+    }
+
+    /// Groups of a model.
+    pub(crate) fn of_model(&self, model: &str) -> usize {
+        self.of_model.get(model).copied().unwrap_or(0)
+    }
+
+    /// Groups of a model in a fabric domain.
+    pub(crate) fn in_fabric(&self, fabric: &str, model: &str) -> usize {
+        self.in_fabric.get(fabric).and_then(|models| models.get(model)).copied().unwrap_or(0)
     }
 
     /// How well a further group of the model suits a fabric domain, between 0 and 1. Hosts
     /// that survive their groups complete others of the same model at once, so that each
     /// fabric domain keeps to one model, and a model is spread over failure domains.
-    fn suits(&self, model: &ModelId, fabric: &FabricId, domain: &DomainId) -> f64 {
-        let here = |(other, _): &(&(FabricId, ModelId), &usize)| other.0 == *fabric;
-        let groups: usize = self.in_fabric.iter().filter(here).map(|(_, count)| count).sum();
-        let own = self.in_fabric.get(&(fabric.clone(), model.clone())).copied().unwrap_or(0);
+    fn suits(&self, model: &str, fabric: &str, domain: &str) -> f64 {
+        let groups: usize = self.in_fabric.get(fabric).map_or(0, |models| models.values().sum());
+        let own = self.in_fabric(fabric, model);
         if own == groups && own > 0 {
             return 1.0;
         }
-        let near = self.in_domain.get(&(domain.clone(), model.clone())).copied().unwrap_or(0);
+        let near = self.in_domain.get(domain).and_then(|models| models.get(model));
         let suits = if groups == 0 { FRESH } else { SHARED };
-        suits / (1.0 + CROWDED * near as f64)
+        suits / (1.0 + CROWDED * near.copied().unwrap_or(0) as f64)
     }
 }
 
@@ -90,36 +102,59 @@
 /// How much less each group of the model in the same failure domain makes it worth.
 const CROWDED: f64 = 0.1;
 
-/// The best next group, if one fits in a fabric domain with at most `loads` loads.
+/// The groups that free hosts could form next, at most one of each model in each fabric
+/// domain.
 ///
-/// A group is worth more the fewer groups its model has for its part of the work, and the
-/// sooner it serves.
-pub(crate) fn best_candidate(
-    input: &PlannerInput<'_>,
-    free: &BTreeMap<FabricId, Vec<FreeHost>>,
-    spread: &Spread,
-    loads: usize,
-) -> Option<Candidate> {
-    let mut best: Option<((bool, f64), Candidate)> = None;
-    for model in &input.engine.models {
-        let need = model_need(model, input.demand, &spread.of_model);
-        for (fabric, hosts) in free {
-            let Some(candidate) = candidate_in(model, fabric, hosts, loads) else {
-                continue;
-            };
-            let head = input.registry.hosts().get(&candidate.hosts[0]);
-            let domain = head.map(|seen| seen.report.domain.clone()).unwrap_or_default();
-            let suits = spread.suits(&model.name, fabric, &domain);
+/// Choosing looks at each of them once, and taking one looks again at its fabric domain
+/// only: a first start forms some hundred groups in one pass.
+#[derive(Debug, Default)]
+pub(crate) struct Candidates {
+    by_fabric: BTreeMap<FabricId, Vec<Candidate>>,
+}
+
+impl Candidates {
+    /// Looks again at the free hosts of a fabric domain. A group may need up to `loads` loads.
+    pub(crate) fn look(
+        &mut self,
+        fabric: &FabricId,
+        hosts: &[FreeHost],
+        models: &[EngineModel],
+        loads: usize,
+    ) {
+        let found: Vec<Candidate> =
+            models.iter().filter_map(|model| candidate_in(model, fabric, hosts, loads)).collect();
+        if found.is_empty() {
+            self.by_fabric.remove(fabric);
+        } else {
+            self.by_fabric.insert(fabric.clone(), found);
+        }
+    }
+
+    /// The best next group. It is worth more the fewer groups its model has for its part of
+    /// the work, the better the place suits, and the sooner it serves.
+    pub(crate) fn best(&self, input: &PlannerInput<'_>, spread: &Spread) -> Option<&Candidate> {
+        let needs: BTreeMap<&ModelId, f64> = input
+            .engine
+            .models
+            .iter()
+            .map(|model| (&model.name, model_need(model, input.demand, spread)))
+            .collect();
+        let rank = |candidate: &Candidate| {
+            let suits = spread.suits(&candidate.model, &candidate.fabric, &candidate.domain);
             let wait = candidate.time.as_secs_f64() / PATIENCE.as_secs_f64();
+            let need = needs.get(&candidate.model).copied().unwrap_or(0.0);
             // A model that nobody serves goes first.
-            let unserved = !spread.of_model.contains_key(&model.name);
-            let rank = (unserved, need * suits / (1.0 + wait));
+            (spread.of_model(&candidate.model) == 0, need * suits / (1.0 + wait))
+        };
+        let mut best: Option<((bool, f64), &Candidate)> = None;
+        for candidate in self.by_fabric.values().flatten() {
+            let rank = rank(candidate);
             if best.as_ref().is_none_or(|(other, _)| rank > *other) {
                 best = Some((rank, candidate));
             }
         }
+        best.map(|(_, candidate)| candidate)
     }
-    best.map(|(_, candidate)| candidate)
 }
 
 /// The work that asks for a model over the groups that it has. Until the work has been
@@ -127,9 +162,9 @@
 pub(crate) fn model_need(
     model: &EngineModel,
     demand: &BTreeMap<ModelId, f64>,
-    groups: &BTreeMap<ModelId, usize>,
+    spread: &Spread,
 ) -> f64 {
-    let count = groups.get(&model.name).copied().unwrap_or(0) as f64;
+    let count = spread.of_model(&model.name) as f64;
     let work = match demand.is_empty() {
         true => model.share,
         false => demand.get(&model.name).copied().unwrap_or(0.0),
@@ -162,6 +197,7 @@
     Some(Candidate {
         model: model.name.clone(),
         fabric: fabric.clone(),
+        domain: chosen[0].domain.clone(),
         hosts: chosen.iter().map(|host| host.host.clone()).collect(),
         time,
     })
--- a/crates/groups/src/planner/forming.rs
+++ b/crates/groups/src/planner/forming.rs
@@ -1,11 +1,11 @@
 //! Forms groups of hosts that are free, and takes hosts out of groups that have ended.
 
 use super::{Phase, Planner, PlannerInput, group::Group};
-use crate::placement::{Candidate, FreeHost, Spread, best_candidate};
+use crate::placement::{Candidate, Candidates, FreeHost, Spread};
 use fleet::{
     GroupChange, GroupMember, GroupName, GroupRecord, HostOrder, HostReport, Membership, OrderKind,
 };
-use model::ids::{DomainId, FabricId, HostId};
+use model::ids::{FabricId, HostId};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Bits of an epoch below the leader's term.
@@ -57,6 +57,7 @@
             if usable {
                 free.entry(report.fabric.clone()).or_default().push(FreeHost {
                     host: host.clone(),
+                    domain: report.domain.clone(),
                     last_model: report.loaded.clone(),
                     staged: report.staged.clone(),
                 });
@@ -69,29 +70,33 @@
         &mut self,
         input: &PlannerInput<'_>,
         free: &mut BTreeMap<FabricId, Vec<FreeHost>>,
+        spread: &mut Spread,
     ) -> Vec<GroupChange> {
+        // A join that loads would hold its hosts for long; weights are staged instead.
+        let loads = if input.loads_unlimited { usize::MAX } else { 0 };
+        let models = &input.engine.models;
+        let mut candidates = Candidates::default();
+        for (fabric, hosts) in free.iter() {
+            candidates.look(fabric, hosts, models, loads);
+        }
         let mut formed = Vec::new();
-        loop {
-            let spread = self.spread(input);
-            // A join that loads would hold its hosts for long; weights are staged instead.
-            let room = if input.loads_unlimited { usize::MAX } else { 0 };
-            let Some(candidate) = best_candidate(input, free, &spread, room) else {
-                return formed;
-            };
+        while let Some(candidate) = candidates.best(input, spread).cloned() {
+            spread.add(&candidate.model, Some((&candidate.fabric, &candidate.domain)));
             if let Some(hosts) = free.get_mut(&candidate.fabric) {
                 hosts.retain(|host| !candidate.hosts.contains(&host.host));
+                candidates.look(&candidate.fabric, hosts, models, loads);
             }
             formed.push(self.start_group(candidate, input));
         }
+        formed
     }
 
-    fn spread(&self, input: &PlannerInput<'_>) -> Spread {
+    /// Where groups are, by their heads.
+    pub(super) fn spread(&self, input: &PlannerInput<'_>) -> Spread {
         let mut spread = Spread::default();
         for group in self.groups.values() {
-            match input.registry.hosts().get(&group.members[0]) {
-                Some(head) => spread.add(&group.model, &head.report.fabric, &head.report.domain),
-                None => spread.add(&group.model, &FabricId::default(), &DomainId::default()),
-            }
+            let head = input.registry.hosts().get(&group.members[0]);
+            spread.add(&group.model, head.map(|seen| (&seen.report.fabric, &seen.report.domain)));
         }
         spread
     }
--- a/crates/groups/src/planner/mod.rs
+++ b/crates/groups/src/planner/mod.rs
@@ -147,9 +147,10 @@
             loads && *until > input.now
         });
         let mut free = self.free_hosts(input);
-        let formed = self.form(input, &mut free);
+        let mut spread = self.spread(input);
+        let formed = self.form(input, &mut free, &mut spread);
         self.note_idle(&free, input.now);
-        self.stage(input, &free, &mut orders);
+        self.stage(input, &free, &spread, &mut orders);
         let ended = std::mem::take(&mut self.ended).into_iter();
         let changes = ended.map(|name| GroupChange::Ended { name }).chain(formed).collect();
         Step { changes, orders }
--- a/crates/groups/src/planner/staging.rs
+++ b/crates/groups/src/planner/staging.rs
@@ -1,10 +1,7 @@
 //! Puts weights on hosts before they are needed there.
 
-use super::{Planner, PlannerInput, group::Group};
-use crate::{
-    HostSeen,
-    placement::{FreeHost, model_need},
-};
+use super::{Planner, PlannerInput};
+use crate::placement::{FreeHost, Spread, model_need};
 use fleet::{EngineModel, HostOrder, OrderKind};
 use model::ids::{FabricId, HostId, ModelId};
 use std::{
@@ -19,7 +16,6 @@
 const SPARE_WORTH: f64 = 0.25;
 /// The same where the fabric domain has groups of the model and no spare host for them.
 const FIRST_SPARE_WORTH: f64 = 0.5;
-
 /// The same where the fabric domain has no groups of the model.
 const STRAY_SPARE_WORTH: f64 = 0.05;
 
@@ -27,11 +23,20 @@
 #[derive(Debug)]
 struct Load<'a> {
     host: HostId,
-    fabric: &'a FabricId,
     model: &'a EngineModel,
     worth: f64,
 }
 
+/// The free hosts of a fabric domain, and the loads that would help most there.
+#[derive(Debug)]
+struct Idle<'a> {
+    hosts: Vec<&'a FreeHost>,
+    loads: Vec<Load<'a>>,
+}
+
+/// Loads under way by fabric domain and model.
+type Coming<'a> = BTreeMap<(&'a str, ModelId), usize>;
+
 impl Planner {
     /// Puts weights on hosts that lack those of a group which they could complete. Loads are
     /// scarce, so that each goes where a group lacks the fewest hosts, over all fabric
@@ -40,57 +45,89 @@
         &mut self,
         input: &PlannerInput<'_>,
         free: &BTreeMap<FabricId, Vec<FreeHost>>,
+        spread: &Spread,
         orders: &mut Vec<HostOrder>,
     ) {
-        let mut idle: BTreeMap<&FabricId, Vec<&FreeHost>> =
-            free.iter().map(|(fabric, hosts)| (fabric, hosts.iter().collect())).collect();
+        if self.load_room(input) == 0 {
+            return;
+        }
+        let mut coming = self.coming(input);
+        let mut idle: BTreeMap<&FabricId, Idle<'_>> = BTreeMap::new();
+        for (fabric, hosts) in free {
+            let hosts: Vec<&FreeHost> = hosts.iter().collect();
+            let loads = self.loads_in(fabric, &hosts, &coming, spread, input);
+            idle.insert(fabric, Idle { hosts, loads });
+        }
         while self.load_room(input) > 0 {
-            let Some(load) = self.best_load(&idle, input) else {
+            let all = idle
+                .iter()
+                .flat_map(|(fabric, part)| part.loads.iter().map(move |load| (*fabric, load)));
+            let best =
+                all.reduce(|best, next| if next.1.worth > best.1.worth { next } else { best });
+            let Some((fabric, host, model)) =
+                best.map(|(fabric, load)| (fabric, load.host.clone(), load.model))
+            else {
                 return;
             };
-            let kind = OrderKind::Stage { model: load.model.name.clone() };
-            if self.order(&load.host, kind, input, orders) {
+            let kind = OrderKind::Stage { model: model.name.clone() };
+            if self.order(&host, kind, input, orders) {
                 self.gate.note(input.now);
-                let until = input.now + load.model.load * 2;
-                self.staging.insert(load.host.clone(), (load.model.name.clone(), until));
+                let until = input.now + model.load * 2;
+                self.staging.insert(host.clone(), (model.name.clone(), until));
+                *coming.entry((fabric, model.name.clone())).or_default() += 1;
             }
-            if let Some(hosts) = idle.get_mut(load.fabric) {
-                hosts.retain(|host| host.host != load.host);
+            if let Some(part) = idle.get_mut(fabric) {
+                part.hosts.retain(|other| other.host != host);
+                part.loads = self.loads_in(fabric, &part.hosts, &coming, spread, input);
             }
         }
     }
 
-    fn best_load<'a>(
-        &self,
-        idle: &BTreeMap<&'a FabricId, Vec<&FreeHost>>,
-        input: &PlannerInput<'a>,
-    ) -> Option<Load<'a>> {
-        let counts = self.counts();
-        let mut best: Option<Load<'a>> = None;
-        for (fabric, hosts) in idle {
-            for model in &input.engine.models {
-                let Some((host, share)) = self.load_for(fabric, hosts, model, input) else {
-                    continue;
-                };
-                let worth = share * model_need(model, input.demand, &counts);
-                if best.as_ref().is_none_or(|other| worth > other.worth) {
-                    best = Some(Load { host, fabric, model, worth });
-                }
+    /// Loads under way to hosts that are there.
+    fn coming<'a>(&self, input: &PlannerInput<'a>) -> Coming<'a> {
+        let mut coming = Coming::new();
+        for (host, (model, _)) in &self.staging {
+            if let Some(seen) = input.registry.hosts().get(host)
+                && seen.is_present(self.limits.member_silence, input.now)
+            {
+                let fabric: &str = &seen.report.fabric;
+                *coming.entry((fabric, model.clone())).or_default() += 1;
             }
         }
-        best
+        coming
+    }
+
+    /// The load of each model that would help most in a fabric domain.
+    fn loads_in<'a>(
+        &self,
+        fabric: &FabricId,
+        hosts: &[&FreeHost],
+        coming: &Coming<'_>,
+        spread: &Spread,
+        input: &PlannerInput<'a>,
+    ) -> Vec<Load<'a>> {
+        let load = |model: &'a EngineModel| {
+            let key = (&**fabric, model.name.clone());
+            let have = hosts.iter().filter(|host| !host.needs_load(model)).count();
+            let have = have + coming.get(&key).copied().unwrap_or(0);
+            let groups = spread.in_fabric(fabric, &model.name);
+            let (host, part) = self.load_for(hosts, model, have, groups, input)?;
+            Some(Load { host, model, worth: part * model_need(model, input.demand, spread) })
+        };
+        input.engine.models.iter().filter_map(load).collect()
     }
 
     /// The host of a fabric domain that should get a model's weights next, if any, and the
-    /// part of a group that this brings.
+    /// part of a group that this brings. `have` hosts have them or will, and the domain has
+    /// `groups` groups of the model.
     fn load_for(
         &self,
-        fabric: &FabricId,
         hosts: &[&FreeHost],
         model: &EngineModel,
+        have: usize,
+        groups: usize,
         input: &PlannerInput<'_>,
     ) -> Option<(HostId, f64)> {
-        let have = self.ready_hosts(fabric, hosts, model, input);
         let missing = model.size - have % model.size;
         let blank: Vec<&&FreeHost> = hosts.iter().filter(|host| host.is_blank()).collect();
         let part = 1.0 / missing as f64;
@@ -100,7 +137,7 @@
         if let Some(host) = self.replaceable(hosts, blank.len(), missing, model, input) {
             return Some((host, part));
         }
-        let worth = match self.groups_in(fabric, model, input) {
+        let worth = match groups {
             0 => STRAY_SPARE_WORTH,
             _ if have == 0 => FIRST_SPARE_WORTH,
             _ => SPARE_WORTH,
@@ -137,43 +174,6 @@
         (enough && others.iter().all(patient)).then(|| others[0].host.clone())
     }
 
-    /// How many free hosts of a fabric domain have, or will have, the weights of a model.
-    fn ready_hosts(
-        &self,
-        fabric: &FabricId,
-        hosts: &[&FreeHost],
-        model: &EngineModel,
-        input: &PlannerInput<'_>,
-    ) -> usize {
-        let have = hosts.iter().filter(|host| !host.needs_load(model)).count();
-        let coming = self.staging.iter().filter(|(host, (staged, _))| {
-            let seen = input.registry.hosts().get(*host);
-            let comes = |seen: &HostSeen| {
-                seen.report.fabric == *fabric
-                    && seen.is_present(self.limits.member_silence, input.now)
-            };
-            *staged == model.name && seen.is_some_and(comes)
-        });
-        have + coming.count()
-    }
-
-    fn groups_in(&self, fabric: &FabricId, model: &EngineModel, input: &PlannerInput<'_>) -> usize {
-        let here = |group: &&Group| {
-            let head = input.registry.hosts().get(&group.members[0]);
-            group.model == model.name && head.is_some_and(|seen| seen.report.fabric == *fabric)
-        };
-        self.groups.values().filter(here).count()
-    }
-
-    /// The number of groups of each model.
-    pub(super) fn counts(&self) -> BTreeMap<ModelId, usize> {
-        let mut counts = BTreeMap::new();
-        for group in self.groups.values() {
-            *counts.entry(group.model.clone()).or_default() += 1;
-        }
-        counts
-    }
-
     fn load_room(&mut self, input: &PlannerInput<'_>) -> usize {
         if input.loads_unlimited {
             return usize::MAX;
