--- a/crates/groups/tests/lifecycle.rs
+++ b/crates/groups/tests/lifecycle.rs
@@ -332,3 +332,39 @@
     world.ask_members();
     expect_true!(world.registry.hosts()[&member.host].report.leaving, "its own report says more");
 }
+
+#[gtest]
+fn step_head_that_opened_unheard_blocks_its_members_until_it_closed() {
+    let mut world = World::formed(20);
+    let first = group_of(&world, 3);
+    let hosts = world.registry.hosts();
+    let fabric_of = |name: &GroupName| hosts[&world.members_of(name)[0]].report.fabric.clone();
+    let fabric = fabric_of(&first);
+    let broken: Vec<GroupName> =
+        world.serving().into_iter().filter(|name| fabric_of(name) == fabric).take(2).collect();
+    for name in &broken {
+        let member = world.members_of(name)[1].clone();
+        kill(&mut world, &member);
+        world.registry.suspect(&member);
+    }
+    // What is left of both forms a group; its head opens, and is not heard.
+    world.opens.clear();
+    world.late_open = Some(Duration::from_millis(20));
+    for _ in 0..400 {
+        world.step();
+        if !world.opens.is_empty() {
+            break;
+        }
+    }
+    let head = world.opens.first().cloned().expect("an order to open");
+    world.field.host_mut(&head).expect("a host").reachable = false;
+    let members = world.records.values().find(|record| record.members[0].host == head);
+    let lost = members.expect("its group").members[1].host.clone();
+    world.run_ms(60);
+    kill(&mut world, &lost);
+    world.registry.suspect(&lost);
+    world.late_open = None;
+    world.run_ms(10_000);
+    expect_that!(world.field.breaches, is_empty());
+    expect_false!(world.records.values().any(|record| record.members[0].host == lost));
+}
--- a/crates/groups/tests/world/mod.rs
+++ b/crates/groups/tests/world/mod.rs
@@ -4,7 +4,7 @@
 
 use engine::{Field, FieldPlan, sample_engine};
 use fastrand::Rng;
-use fleet::{GroupChange, GroupName, GroupRecord, HostOrder, HostReport, HostState};
+use fleet::{GroupChange, GroupName, GroupRecord, HostOrder, HostReport, HostState, OrderKind};
 use groups::{Limits, OrderOutcome, OrderResult, Phase, Planner, PlannerInput, Registry};
 use model::ids::{DomainId, HostId};
 use std::{
@@ -31,6 +31,10 @@
     pub term: u64,
     /// Part of the orders, in hundredths, that get no answer and are carried out late.
     pub late_percent: u8,
+    /// Orders to open that get no answer are carried out after this time.
+    pub late_open: Option<Duration>,
+    /// Orders to open that were sent, with their heads.
+    pub opens: Vec<HostId>,
     pub rng: Rng,
     report_at: BTreeMap<HostId, Instant>,
     answers: Vec<(Instant, OrderOutcome)>,
@@ -54,6 +58,8 @@
             limits,
             term: 1,
             late_percent: 0,
+            late_open: None,
+            opens: Vec::new(),
             rng: Rng::with_seed(seed),
             report_at: BTreeMap::new(),
             answers: Vec::new(),
@@ -145,7 +151,7 @@
         self.answers = waiting;
         for (_, outcome) in done {
             let unanswered = outcome.result == OrderResult::NoAnswer;
-            if outcome.order.kind == fleet::OrderKind::Probe && unanswered {
+            if outcome.order.kind == OrderKind::Probe && unanswered {
                 self.registry.suspect(&outcome.order.host);
             }
             self.planner.outcome(&outcome, self.now);
@@ -153,7 +159,7 @@
         self.plan();
     }
 
-    fn plan(&mut self) {
+    pub fn plan(&mut self) {
         let demand = BTreeMap::new();
         let input = PlannerInput {
             registry: &self.registry,
@@ -191,8 +197,14 @@
     }
 
     fn send(&mut self, order: HostOrder) {
-        if self.rng.u8(0..100) < self.late_percent {
-            let late = self.now + Duration::from_millis(self.rng.u64(2000..12_000));
+        let is_open = matches!(order.kind, OrderKind::Open { .. });
+        if is_open {
+            self.opens.push(order.host.clone());
+        }
+        let late_open = self.late_open.filter(|_| is_open);
+        if late_open.is_some() || self.rng.u8(0..100) < self.late_percent {
+            let random = Duration::from_millis(self.rng.u64(2000..12_000));
+            let late = self.now + late_open.unwrap_or(random);
             self.late.push((late, order.clone()));
             let outcome = OrderOutcome { order, result: OrderResult::NoAnswer };
             self.answers.push((self.now + ORDER_TIMEOUT, outcome));
