--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -13,7 +13,7 @@
 use fleet::{Route, RouteKind};
 use futures_lite::FutureExt;
 use http::{
-    Body, BodyFault, Client, ClientError, Connection, Handler, HandlerFuture, collect, full,
+    Body, BodyFault, Client, ClientError, Connection, Handler, HandlerFuture, Limits, collect, full,
 };
 use hyper::{
     HeaderMap, Method, Request, Response, Uri,
@@ -398,7 +398,22 @@
 /// Longest body of a refusal that is read.
 const RECYCLE_BYTES: usize = 4096;
 
+/// What a connection may be idle beyond the manifest's limit: callers use one again until
+/// shortly before it, and must not meet its end then.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+
 impl Handler for Gateway {
+    fn limits(&self) -> Option<Limits> {
+        let limits = self.shared.table()?.manifest().limits;
+        Some(Limits {
+            header_bytes: limits.header_bytes,
+            body_bytes: limits.body_bytes,
+            // One time bounds both an idle connection and a slow block of headers, and the
+            // manifest allows the idle one longer.
+            header_timeout: limits.idle_timeout.max(limits.header_timeout) + IDLE_MARGIN,
+        })
+    }
+
     fn handle(self: Arc<Self>, request: Request<Incoming>, _remote: SocketAddr) -> HandlerFuture {
         let leaving = self.shared.is_leaving();
         let answer = self.answer(request);
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -18,6 +18,11 @@
     /// Answers one request from the given address.
     fn handle(self: Arc<Self>, request: Request<Incoming>, remote: SocketAddr) -> HandlerFuture;
 
+    /// The limits in force for a new connection, if they are not the server's own.
+    fn limits(&self) -> Option<Limits> {
+        None
+    }
+
     /// Counts a connection that ended with malformed HTTP or a timeout.
     fn malformed(&self) {}
 }
@@ -74,7 +79,8 @@
             match accepted.or(stopped).await {
                 Some(Ok((stream, remote))) => {
                     let (handler, stop) = (self.handler.clone(), self.stop.clone());
-                    let connection = serve_connection(stream, remote, self.limits, handler, stop);
+                    let limits = handler.limits().unwrap_or(self.limits);
+                    let connection = serve_connection(stream, remote, limits, handler, stop);
                     self.pool.spawn(connection).detach();
                 }
                 Some(Err(_)) => {
