--- a/crates/admission/src/backends.rs
+++ b/crates/admission/src/backends.rs
@@ -73,7 +73,6 @@
 struct Place {
     replica: Replica,
     cold_until: Instant,
-    cold: ColdGate,
     avoid_until: Option<Instant>,
     work: BTreeMap<u64, Work>,
     progress: Option<Instant>,
@@ -86,6 +85,8 @@
 pub struct Backends {
     manifest: Option<Arc<Manifest>>,
     places: BTreeMap<HostId, Place>,
+    /// What cold hosts got lately, whatever group they were in or view they were missing from.
+    cold: BTreeMap<HostId, ColdGate>,
     /// Entries that share the backend servers, this one included.
     entries: usize,
     /// This entry's part of the places, if control has told it.
@@ -117,6 +118,7 @@
         self.entries = view.senders.max(view.entries.len()).max(1);
         let named: BTreeSet<HostId> = view.replicas.iter().map(|r| r.host.clone()).collect();
         self.places.retain(|host, _| named.contains(host));
+        self.cold.retain(|host, gate| named.contains(host) || !gate.is_empty(now));
         for replica in view.replicas {
             let cold_until = now + replica.cold;
             match self.places.get_mut(&replica.host) {
@@ -128,7 +130,6 @@
                     let place = Place {
                         cold_until,
                         replica: replica.clone(),
-                        cold: ColdGate::default(),
                         avoid_until: None,
                         work: BTreeMap::new(),
                         progress: None,
@@ -164,7 +165,7 @@
             offered = true;
             let cold = place.cold_until > now;
             if place.avoid_until.is_some_and(|until| until > now)
-                || (cold && !place.cold.has_room(cold_share.max(1.0), now))
+                || (cold && !has_cold_room(&mut self.cold, &place.replica.host, cold_share, now))
                 || !place.has_room(service.engine.as_ref(), share)
             {
                 continue;
@@ -190,7 +191,7 @@
         let place = self.places.get_mut(&host).expect("it was just found");
         place.chosen = number;
         if place.cold_until > now {
-            place.cold.note(now);
+            self.cold.entry(host.clone()).or_default().note(now);
         }
         let work = Work { prompt_tokens: needs.prompt_tokens, sent: now, first_event: None };
         place.work.insert(number, work);
@@ -309,6 +310,17 @@
 /// others wait while it is read, and hardly for one request more that writes.
 const UNREAD_LOAD: f64 = 8.0;
 
+/// Whether a cold host bears one more request of this entry, which may send `share` a second,
+/// and at least one: an entry whose part is less would never serve there.
+fn has_cold_room(
+    gates: &mut BTreeMap<HostId, ColdGate>,
+    host: &HostId,
+    share: f64,
+    now: Instant,
+) -> bool {
+    gates.get_mut(host).is_none_or(|gate| gate.has_room(share.max(1.0), now))
+}
+
 impl Place {
     fn offers(&self, needs: &Needs) -> bool {
         self.replica.service == needs.service
--- a/crates/admission/src/cold.rs
+++ b/crates/admission/src/cold.rs
@@ -17,10 +17,20 @@
 impl ColdGate {
     /// Whether one more request stays within `per_s`.
     pub(crate) fn has_room(&mut self, per_s: f64, now: Instant) -> bool {
+        self.forget(now);
+        (self.sent.len() as f64) + 1.0 <= per_s
+    }
+
+    /// Whether nothing was sent in the last second.
+    pub(crate) fn is_empty(&mut self, now: Instant) -> bool {
+        self.forget(now);
+        self.sent.is_empty()
+    }
+
+    fn forget(&mut self, now: Instant) {
         while self.sent.front().is_some_and(|at| now.saturating_duration_since(*at) >= WINDOW) {
             self.sent.pop_front();
         }
-        (self.sent.len() as f64) + 1.0 <= per_s
     }
 
     /// Counts a request.
