--- a/crates/coordinator/src/leader.rs
+++ b/crates/coordinator/src/leader/mod.rs
@@ -1,4 +1,7 @@
-//! The work of the leader: reports, groups, orders and routing views.
+//! The work of the leader: groups, orders, and the times at which the rest is due.
+
+mod entries;
+mod hosts;
 
 use crate::{
     driver::Driver,
@@ -7,16 +10,11 @@
     shares::PlaceShares,
 };
 use async_channel::Sender;
-use fleet::{
-    ControlMessage, EntryMessage, EntryStatus, GroupMember, GroupName, HostReport, HostState,
-    Manifest, OrderKind, RoutingView,
-};
-use groups::{
-    EntriesSeen, HostUse, OrderOutcome, OrderResult, Phase, Planner, PlannerInput, Registry,
-    routing_view,
-};
+use entries::push;
+use fleet::{ControlMessage, EntryStatus, GroupName, Manifest, RoutingView};
+use groups::{OrderOutcome, Phase, Planner, PlannerInput, Registry};
 use log::info;
-use model::ids::{HostId, ServiceId};
+use model::ids::ServiceId;
 use serde_json::json;
 use std::{
     collections::BTreeMap,
@@ -135,46 +133,6 @@
         self.ask_members();
     }
 
-    /// Asks the members of all groups how they are: they report in their own time, and
-    /// entries that know nothing wait for this leader.
-    fn ask_members(&self) {
-        let term = self.log.node.term();
-        for member in self.ledger.groups.values().flat_map(|record| &record.members).cloned() {
-            let asked = self.orders.ask(&member.host, member.address);
-            let handle = self.handle.clone();
-            self.pool
-                .spawn(async move {
-                    let state = asked.await;
-                    handle.send(Event::MemberSeen { term, member, state });
-                })
-                .detach();
-        }
-    }
-
-    pub(crate) fn take_state(
-        &mut self,
-        term: u64,
-        member: &GroupMember,
-        state: Option<HostState>,
-        now: Instant,
-    ) {
-        let own_term = self.log.node.term();
-        let Some(leading) = self.leading.as_mut().filter(|_| term == own_term) else {
-            return;
-        };
-        let Some(state) = state else {
-            info!("event=host_asked host={} answer=none", member.host);
-            return;
-        };
-        let part = format!("{:?}", state.membership);
-        if let Some(service) = &leading.engine_service
-            && leading.registry.take_state(member, service, state, now)
-        {
-            info!("event=host_asked host={} answer=taken part=\"{part}\"", member.host);
-            leading.changed = true;
-        }
-    }
-
     pub(crate) fn end_leading(&mut self) {
         info!("event=follow term={}", self.log.node.term());
         self.leading = None;
@@ -186,16 +144,6 @@
         }
     }
 
-    fn not_leader(&self) -> ControlMessage {
-        let leader = self.leader().map(|gossip| gossip.peer_address);
-        ControlMessage::NotLeader { leader, known: self.known() }
-    }
-
-    fn known(&self) -> Vec<std::net::SocketAddr> {
-        let others = self.peers.values().map(|peer| peer.gossip.peer_address);
-        others.chain([self.config.peer_address]).collect()
-    }
-
     /// Lets the members of a group be told to join.
     pub(crate) fn group_committed(&mut self, name: &GroupName) {
         if let Some(leading) = &mut self.leading {
@@ -238,129 +186,6 @@
         }
     }
 
-    pub(crate) fn open_entry(
-        &mut self,
-        session: SessionId,
-        tx: Sender<ControlMessage>,
-        now: Instant,
-    ) {
-        match &self.leading {
-            Some(leading) if self.log.node.holds_lease(now) => {
-                if let Some(manifest) = &leading.manifest {
-                    push(&tx, ControlMessage::Manifest(manifest.clone()));
-                }
-                if let Some(view) = &leading.view {
-                    push(&tx, ControlMessage::View(view.clone()));
-                }
-            }
-            _ => push(&tx, self.not_leader()),
-        }
-        self.entries.insert(session, tx);
-    }
-
-    pub(crate) fn close_entry(&mut self, session: SessionId) {
-        self.entries.remove(&session);
-        if let Some(leading) = &mut self.leading {
-            // A process that has ended closes its conversation.
-            if let Some((status, _)) = leading.entries.remove(&session) {
-                info!("event=entry_lost entry={}", status.entry);
-                leading.changed = true;
-            }
-        }
-    }
-
-    pub(crate) fn take_entry(&mut self, session: SessionId, message: EntryMessage, now: Instant) {
-        let EntryMessage::Status(status) = message;
-        match &mut self.leading {
-            Some(leading) if self.log.node.holds_lease(now) => {
-                let before = leading.entries.get(&session);
-                let differs = before.is_none_or(|(before, _)| before.accepts != status.accepts);
-                if differs {
-                    info!("event=entry entry={} accepts={}", status.entry, status.accepts);
-                    leading.changed = true;
-                }
-                leading.traffic |= status.served > 0;
-                let old = before.map(|(before, _)| &before.stalled);
-                leading.changed |= !status.stalled.is_empty() && old != Some(&status.stalled);
-                leading.entries.insert(session, (status, now));
-            }
-            _ => {
-                let message = self.not_leader();
-                if let Some(tx) = self.entries.get(&session) {
-                    push(tx, message);
-                }
-            }
-        }
-    }
-
-    pub(crate) fn take_report(&mut self, report: HostReport, reply: Sender<Reply>, now: Instant) {
-        let Some(leading) = &mut self.leading else {
-            let _ = reply.try_send(Reply::NotLeader(None));
-            return;
-        };
-        self.counters.reports.inc();
-        let leaving = report.leaving;
-        let before = leading.registry.hosts().get(&report.host);
-        let news = before.is_none_or(|seen| {
-            let old = &seen.report;
-            old.born != report.born
-                || old.membership != report.membership
-                || old.leaving != report.leaving
-                || old.staged != report.staged
-        });
-        let host = report.host.clone();
-        let what = format!("{:?}", report.membership);
-        let place = format!("fabric={:?} staged={:?}", report.fabric, report.staged);
-        if leading.registry.take(report, now) {
-            if news {
-                info!("event=host host={host} leaving={leaving} {place} part=\"{what}\"");
-                leading.changed = true;
-            }
-        } else {
-            self.counters.reports_stale.inc();
-        }
-        if leaving && news {
-            leading.after_view.push(reply);
-        } else {
-            let _ = reply.try_send(Reply::Done);
-        }
-    }
-
-    pub(crate) fn take_left(&mut self, host: &HostId, reply: Sender<Reply>) {
-        let Some(leading) = &mut self.leading else {
-            let _ = reply.try_send(Reply::NotLeader(None));
-            return;
-        };
-        if leading.registry.remove(host) {
-            info!("event=host_left host={host}");
-        }
-        leading.changed = true;
-        leading.after_view.push(reply);
-    }
-
-    pub(crate) fn take_outcome(&mut self, outcome: &OrderOutcome, now: Instant) {
-        let Some(leading) = &mut self.leading else {
-            return;
-        };
-        let word = outcome.order.kind.word();
-        info!(
-            "event=order_end host={} order={word} result={:?}",
-            outcome.order.host, outcome.result
-        );
-        if !matches!(outcome.result, OrderResult::Begun | OrderResult::Done) {
-            self.counters.orders_failed.inc();
-        }
-        let unanswered = matches!(outcome.result, OrderResult::NoAnswer | OrderResult::Unreachable);
-        if outcome.order.kind == OrderKind::Probe && unanswered {
-            leading.registry.suspect(&outcome.order.host);
-        }
-        // An order of an earlier term must not settle one of this term.
-        if outcome.order.fence == self.log.node.term() {
-            leading.planner.outcome(outcome, now);
-            leading.changed = true;
-        }
-    }
-
     /// Does what is due for a leader that holds the lease.
     pub(crate) fn lead(&mut self, now: Instant) {
         if !self.log.node.holds_lease(now) {
@@ -469,100 +294,6 @@
                 .detach();
         }
     }
-
-    /// Counts and logs what hosts were used for since the last time.
-    fn account(&mut self, now: Instant) {
-        let Some(leading) = &mut self.leading else {
-            return;
-        };
-        let passed = now.saturating_duration_since(leading.account_at);
-        if passed < ACCOUNT_EVERY {
-            return;
-        }
-        leading.account_at = now;
-        let uses = leading.planner.host_uses(&leading.registry, &self.ledger.domains_out, now);
-        let mut line = String::new();
-        for what in HostUse::ALL {
-            let hosts = uses.values().filter(|other| **other == what).count();
-            self.counters.count_hosts(what, hosts, passed);
-            if hosts > 0 {
-                line += &format!(" {}={hosts}", what.word());
-            }
-        }
-        info!("event=hosts{line}");
-        let mut by: BTreeMap<_, Vec<String>> = BTreeMap::new();
-        for (host, what) in &uses {
-            let report = &leading.registry.hosts()[*host].report;
-            by.entry(report.fabric.clone()).or_default().push(format!(
-                "{}:{}",
-                what.word(),
-                report
-                    .loaded
-                    .as_ref()
-                    .map_or_else(|| format!("[{}]", report.staged.join("+")), |m| m.to_string())
-            ));
-        }
-        for (f, mut v) in by {
-            v.sort();
-            info!("event=fabric fabric={f} hosts=\"{}\"", v.join(" "));
-        }
-    }
-
-    fn publish(&mut self, is_complete: bool, now: Instant) {
-        let Some(leading) = &mut self.leading else {
-            return;
-        };
-        let entries = leading.entries.values().filter(|(status, _)| status.accepts);
-        let mut entries: Vec<_> = entries.map(|(status, _)| status.address).collect();
-        entries.sort_unstable();
-        entries.dedup();
-        let entries = EntriesSeen { accepting: entries, senders: leading.entries.len() };
-        let view = routing_view(
-            &leading.planner,
-            &leading.registry,
-            &self.ledger.domains_out,
-            entries,
-            is_complete,
-            &self.config.limits,
-            now,
-        );
-        if !is_complete && view.replicas.is_empty() {
-            return;
-        }
-        let old = leading.view.as_ref();
-        let same = old.is_some_and(|old| old.same_routes(&view));
-        if same && (old == Some(&view) || now < leading.view_at + COLD_STEP) {
-            return;
-        }
-        let serving = view.replicas.iter().filter(|replica| replica.group.is_some()).count();
-        if !same {
-            info!(
-                "event=view replicas={} groups={serving} entries={}",
-                view.replicas.len(),
-                view.entries.len()
-            );
-        }
-        self.counters.views.inc();
-        self.counters.groups_serving.set(serving as i64);
-        for tx in self.entries.values() {
-            push(tx, ControlMessage::View(view.clone()));
-        }
-        leading.view_at = now;
-        leading.view = Some(view);
-    }
-}
-
-impl Leading {
-    fn divide_places(&mut self) -> Vec<(SessionId, f64)> {
-        let asked = self.entries.iter().map(|(session, (status, _))| (*session, status.asked));
-        self.shares.divide(&asked.collect())
-    }
-
-    fn expire_entries(&mut self, now: Instant) {
-        let before = self.entries.len();
-        self.entries.retain(|_, (_, heard)| now.saturating_duration_since(*heard) <= ENTRY_SILENCE);
-        self.changed |= self.entries.len() != before;
-    }
 }
 
 /// Logs which groups changed their phase since `logged`.
@@ -579,10 +310,3 @@
     }
     *logged = current;
 }
-
-/// Sends a message to an entry. One that does not read must start a new conversation.
-fn push(tx: &Sender<ControlMessage>, message: ControlMessage) {
-    if tx.try_send(message).is_err() {
-        tx.close();
-    }
-}
