--- a/crates/admission/src/backends.rs
+++ b/crates/admission/src/backends.rs
@@ -312,7 +312,7 @@
 
 /// What a backend server in another failure domain counts as more loaded than a near one,
 /// in requests.
-const FAR_LOAD: f64 = 0.5;
+const FAR_LOAD: f64 = 2.0;
 
 /// What a step's worth of prompt that is still to be read counts, in running requests: all
 /// others wait while it is read, and hardly for one request more that writes.
