Share what tests write twice

One manifest for the two tests of admission, one empty log for those of durable, one fabric_of for the life of groups. No assertion changed.

--- a/crates/admission/tests/backends.rs
+++ b/crates/admission/tests/backends.rs
@@ -1,38 +1,18 @@
 //! The choice of a backend server.
 
+mod sample;
+
 use admission::{Backends, Needs, Refused};
-use engine::sample_engine;
-use fleet::{CallerLimits, ColdLimit, Manifest, Replica, RoutingView, Service};
+use fleet::{Replica, RoutingView};
 use googletest::prelude::*;
+use sample::manifest;
 use std::{
     net::{Ipv4Addr, SocketAddr},
-    sync::Arc,
     time::{Duration, Instant},
 };
 
 const SLOTS: u32 = 26;
 
-fn manifest(cold_per_s: f64) -> Arc<Manifest> {
-    let service = |name: &str, engine| Service {
-        name: name.into(),
-        connections_max: 100,
-        cold: ColdLimit { per_s: cold_per_s },
-        engine,
-    };
-    Arc::new(Manifest {
-        number: 1,
-        routes: Vec::new(),
-        services: vec![service("engines", Some(sample_engine())), service("ledger", None)],
-        limits: CallerLimits {
-            header_bytes: 16_384,
-            body_bytes: 1 << 20,
-            header_timeout: Duration::from_secs(3),
-            idle_timeout: Duration::from_secs(15),
-        },
-        teams: Vec::new(),
-    })
-}
-
 fn replica(host: &str, domain: &str, group: Option<(&str, &str)>) -> Replica {
     Replica {
         host: host.into(),
--- a/crates/admission/tests/random.rs
+++ b/crates/admission/tests/random.rs
@@ -1,14 +1,15 @@
 //! Random views, requests and failures: what the choice promises holds after each step.
 
+mod sample;
+
 use admission::{Backends, Needs, Refused, Ticket};
-use engine::sample_engine;
 use fastrand::Rng;
-use fleet::{CallerLimits, ColdLimit, Manifest, Replica, RoutingView, Service};
+use fleet::{Replica, RoutingView};
 use model::ids::HostId;
+use sample::manifest;
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::{Ipv4Addr, SocketAddr},
-    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -16,26 +17,6 @@
 const COLD_PER_S: f64 = 12.0;
 const MODELS: [&str; 2] = ["large", "small"];
 
-fn manifest() -> Arc<Manifest> {
-    Arc::new(Manifest {
-        number: 1,
-        routes: Vec::new(),
-        services: vec![Service {
-            name: "engines".into(),
-            connections_max: 100,
-            cold: ColdLimit { per_s: COLD_PER_S },
-            engine: Some(sample_engine()),
-        }],
-        limits: CallerLimits {
-            header_bytes: 16_384,
-            body_bytes: 1 << 20,
-            header_timeout: Duration::from_secs(3),
-            idle_timeout: Duration::from_secs(15),
-        },
-        teams: Vec::new(),
-    })
-}
-
 /// What the test knows of a host in the view.
 #[derive(Debug)]
 struct Known {
@@ -60,7 +41,7 @@
 impl World {
     fn new(seed: u64) -> World {
         let mut backends = Backends::new("d0".into(), 0.3);
-        backends.set_manifest(manifest());
+        backends.set_manifest(manifest(COLD_PER_S));
         World {
             rng: Rng::with_seed(seed),
             backends,
--- a/crates/durable/tests/log.rs
+++ b/crates/durable/tests/log.rs
@@ -4,6 +4,7 @@
 use googletest::prelude::*;
 use replog::{Node, Payload, Timing, Voters};
 use std::{
+    path::Path,
     sync::mpsc,
     time::{Duration, Instant},
 };
@@ -11,9 +12,8 @@
 
 const MS: Duration = Duration::from_millis(1);
 
-/// A log of one voter that leads.
-fn leading(dir: &std::path::Path) -> DurableLog<&'static str> {
-    let now = Instant::now();
+/// A log without voters, in an empty folder.
+fn empty(dir: &Path, now: Instant) -> DurableLog<&'static str> {
     let (store, loaded) = Store::open(dir, 7).expect("an empty folder");
     let timing = Timing {
         heartbeat: MS * 100,
@@ -23,9 +23,15 @@
         replace_after: MS * 2000,
     };
     let rng = fastrand::Rng::with_seed(1);
-    let mut node = Node::new(loaded.identity, timing, loaded.restored, rng, now);
-    node.bootstrap(Voters::from([node.id()]));
-    let mut log = DurableLog::new(node, store);
+    DurableLog::new(Node::new(loaded.identity, timing, loaded.restored, rng, now), store)
+}
+
+/// A log of one voter that leads.
+fn leading(dir: &Path) -> DurableLog<&'static str> {
+    let now = Instant::now();
+    let mut log = empty(dir, now);
+    let own = log.node.id();
+    log.node.bootstrap(Voters::from([own]));
     log.node.tick(now + MS * 1500);
     while log.step().expect("the disk works").is_some() {}
     log
@@ -57,17 +63,7 @@
 #[gtest]
 fn propose_gives_the_waiter_back_where_nobody_leads() {
     let dir = tempfile::tempdir().expect("a folder");
-    let (store, loaded) = Store::open(dir.path(), 7).expect("an empty folder");
-    let timing = Timing {
-        heartbeat: MS * 100,
-        election_min: MS * 500,
-        election_max: MS * 1000,
-        lease: MS * 450,
-        replace_after: MS * 2000,
-    };
-    let rng = fastrand::Rng::with_seed(1);
-    let node = Node::new(loaded.identity, timing, loaded.restored, rng, Instant::now());
-    let mut log = DurableLog::new(node, store);
+    let mut log = empty(dir.path(), Instant::now());
     expect_that!(log.propose(vec![1], "waiter"), err(eq("waiter")));
 }
 
--- a/crates/groups/tests/lifecycle.rs
+++ b/crates/groups/tests/lifecycle.rs
@@ -19,6 +19,11 @@
     serving.into_iter().find(|name| world.members_of(name).len() == size).expect("such a group")
 }
 
+/// The fabric domain of a group's head.
+fn fabric_of(world: &World, name: &GroupName) -> FabricId {
+    world.registry.hosts()[&world.members_of(name)[0]].report.fabric.clone()
+}
+
 fn kill(world: &mut World, host: &HostId) {
     world.field.host_mut(host).expect("a host").alive = false;
 }
@@ -233,11 +238,8 @@
     // One load at a time: the store is what everybody waits for.
     world.field.engine.loads_at_once = 1;
     let before = world.whole();
-    let last = world
-        .serving()
-        .into_iter()
-        .max_by_key(|name| world.registry.hosts()[&world.members_of(name)[0]].report.fabric.clone())
-        .expect("a group");
+    let last =
+        world.serving().into_iter().max_by_key(|name| fabric_of(&world, name)).expect("a group");
     let (fabric, _) = kill_with_spares(&mut world, &last);
     expect_that!(&*fabric, eq("d0f2"));
     world.run_ms(5000);
@@ -289,12 +291,10 @@
 #[gtest]
 fn step_survivors_of_two_groups_make_one_without_a_load() {
     let mut world = World::formed(17);
-    let hosts = world.registry.hosts();
-    let fabric_of = |name: &GroupName| hosts[&world.members_of(name)[0]].report.fabric.clone();
     let first = group_of(&world, 4);
-    let fabric = fabric_of(&first);
+    let fabric = fabric_of(&world, &first);
     let pair: Vec<GroupName> =
-        world.serving().into_iter().filter(|name| fabric_of(name) == fabric).collect();
+        world.serving().into_iter().filter(|name| fabric_of(&world, name) == fabric).collect();
     let before = world.whole();
     for name in &pair {
         let member = world.members_of(name)[1].clone();
@@ -337,11 +337,13 @@
 fn step_head_that_opened_unheard_blocks_its_members_until_it_closed() {
     let mut world = World::formed(20);
     let first = group_of(&world, 3);
-    let hosts = world.registry.hosts();
-    let fabric_of = |name: &GroupName| hosts[&world.members_of(name)[0]].report.fabric.clone();
-    let fabric = fabric_of(&first);
-    let broken: Vec<GroupName> =
-        world.serving().into_iter().filter(|name| fabric_of(name) == fabric).take(2).collect();
+    let fabric = fabric_of(&world, &first);
+    let broken: Vec<GroupName> = world
+        .serving()
+        .into_iter()
+        .filter(|name| fabric_of(&world, name) == fabric)
+        .take(2)
+        .collect();
     for name in &broken {
         let member = world.members_of(name)[1].clone();
         kill(&mut world, &member);
