Hold the engines' service once; format and collect only what is used

- The engines' service stood in the planner, in its input and beside both; the planner's is left.
- Each report of a host had its line formatted, and each turn of the leader collected the addresses of all control processes; both now happen only where they are logged or sent.
- Registry::present had no caller, fail_pending one of one line.
No change of behaviour.

--- a/crates/coordinator/src/driver.rs
+++ b/crates/coordinator/src/driver.rs
@@ -15,7 +15,7 @@
     clock::Clock,
     limits::{ELECTION_MAX, ELECTION_MIN, LEADER_LEASE, LOG_HEARTBEAT},
 };
-use durable::{DurableLog, decode_state, encode, take_batch};
+use durable::{DurableLog, decode, decode_state, encode, take_batch};
 use fastrand::Rng;
 use fleet::{ControlGossip, ControlMessage, GroupChange, LogMessage};
 use groups::Limits;
@@ -264,9 +264,8 @@
     }
 
     fn apply_command(&mut self, index: Index, bytes: &[u8]) {
-        let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
-        match decoded {
-            Ok((command, _)) => {
+        match decode(bytes) {
+            Ok(command) => {
                 let formed = match &command {
                     Command::Group(GroupChange::Formed { name, .. }) => Some(name.clone()),
                     _ => None,
@@ -317,11 +316,6 @@
             _ => {}
         }
     }
-
-    pub(crate) fn fail_pending(&mut self) {
-        // Without an answer: the records may still be committed by the next leader.
-        drop(self.log.take_waiters().collect::<Vec<_>>());
-    }
 }
 
 fn answer(reply: Option<Sender<Reply>>, answer: Reply) {
--- a/crates/coordinator/src/leader/hosts.rs
+++ b/crates/coordinator/src/leader/hosts.rs
@@ -45,7 +45,7 @@
             return;
         };
         let part = format!("{:?}", state.membership);
-        if let Some(service) = &leading.engine_service
+        if let Some(service) = leading.planner.engine_service()
             && leading.registry.take_state(member, service, state, now)
         {
             info!("event=host_asked host={} answer=taken part=\"{part}\"", member.host);
@@ -69,15 +69,15 @@
                 || old.staged != report.staged
         });
         let host = report.host.clone();
-        let what = format!("{:?}", report.membership);
-        let place = format!("fabric={:?} staged={:?}", report.fabric, report.staged);
-        if leading.registry.take(report, now) {
-            if news {
-                info!("event=host host={host} leaving={leaving} {place} part=\"{what}\"");
-                leading.changed = true;
-            }
-        } else {
+        if !leading.registry.take(report, now) {
             self.counters.reports_stale.inc();
+        } else if news {
+            let report = &leading.registry.hosts()[&host].report;
+            info!(
+                "event=host host={host} leaving={leaving} fabric={:?} staged={:?} part=\"{:?}\"",
+                report.fabric, report.staged, report.membership
+            );
+            leading.changed = true;
         }
         if leaving && news {
             leading.after_view.push(reply);
--- a/crates/coordinator/src/leader/mod.rs
+++ b/crates/coordinator/src/leader/mod.rs
@@ -14,7 +14,6 @@
 use fleet::{ControlMessage, EntryStatus, GroupName, Manifest, RoutingView};
 use groups::{OrderOutcome, Phase, Planner, PlannerInput, Registry};
 use log::info;
-use model::ids::ServiceId;
 use serde_json::json;
 use std::{
     collections::BTreeMap,
@@ -57,7 +56,6 @@
     share_at: Instant,
     account_at: Instant,
     manifest: Option<Arc<Manifest>>,
-    engine_service: Option<ServiceId>,
     view: Option<RoutingView>,
     view_at: Instant,
     alive_at: Instant,
@@ -119,7 +117,6 @@
             share_at: now,
             account_at: now,
             manifest: None,
-            engine_service: None,
             view: None,
             view_at: now,
             alive_at: now,
@@ -137,7 +134,8 @@
         info!("event=follow term={}", self.log.node.term());
         self.leading = None;
         self.counters.leads.set(0);
-        self.fail_pending();
+        // Without an answer: their records may still be committed by the next leader.
+        drop(self.log.take_waiters());
         let message = self.not_leader();
         for tx in self.entries.values() {
             let _ = tx.try_send(message.clone());
@@ -164,8 +162,7 @@
         };
         let manifest = Arc::new(stored.manifest.clone());
         let engine = manifest.services.iter().find(|service| service.engine.is_some());
-        leading.engine_service = engine.map(|service| service.name.clone());
-        leading.planner.set_engine_service(leading.engine_service.clone());
+        leading.planner.set_engine_service(engine.map(|service| service.name.clone()));
         leading.manifest = Some(manifest.clone());
         leading.changed = true;
         for tx in self.entries.values() {
@@ -191,7 +188,6 @@
         if !self.log.node.holds_lease(now) {
             return;
         }
-        let known = self.known();
         let Some(leading) = &mut self.leading else {
             return;
         };
@@ -229,6 +225,7 @@
         }
         if now >= leading.alive_at + ALIVE_EVERY {
             leading.alive_at = now;
+            let known = self.known();
             for tx in self.entries.values() {
                 push(tx, ControlMessage::Alive { known: known.clone() });
             }
@@ -248,7 +245,8 @@
             return;
         };
         leading.registry.forget(&self.config.limits, now);
-        let (Some(manifest), Some(name)) = (&leading.manifest, &leading.engine_service) else {
+        let (Some(manifest), Some(name)) = (&leading.manifest, leading.planner.engine_service())
+        else {
             return;
         };
         let Some(engine) = manifest.service(name).and_then(|service| service.engine.as_ref())
@@ -267,7 +265,6 @@
         let stalled = statuses.flat_map(|(status, _)| status.stalled.iter().cloned()).collect();
         let input = PlannerInput {
             registry: &leading.registry,
-            service: name,
             engine,
             domains_out: &self.ledger.domains_out,
             demand: &demand,
--- a/crates/durable/src/codec.rs
+++ b/crates/durable/src/codec.rs
@@ -1,6 +1,6 @@
 //! The form of records and states in the log.
 
-use bincode::config::standard;
+use bincode::{config::standard, error::DecodeError};
 use serde::{Serialize, de::DeserializeOwned};
 
 /// Encodes a record or a state.
@@ -13,6 +13,15 @@
         .expect("encoding into memory fails only for unsupported types")
 }
 
+/// Decodes a record.
+///
+/// # Errors
+///
+/// Fails if it is of another version.
+pub fn decode<T: DeserializeOwned>(data: &[u8]) -> Result<T, DecodeError> {
+    bincode::serde::decode_from_slice(data, standard()).map(|(value, _)| value)
+}
+
 /// Decodes the state in a snapshot; a log that never had one begins with the default.
 ///
 /// # Panics
@@ -22,7 +31,5 @@
     if data.is_empty() {
         return T::default();
     }
-    bincode::serde::decode_from_slice(data, standard())
-        .expect("a snapshot that passed its checksum is readable")
-        .0
+    decode(data).expect("a snapshot that passed its checksum is readable")
 }
--- a/crates/durable/src/lib.rs
+++ b/crates/durable/src/lib.rs
@@ -3,7 +3,7 @@
 mod codec;
 mod events;
 
-pub use codec::{decode_state, encode};
+pub use codec::{decode, decode_state, encode};
 pub use events::take_batch;
 
 use replog::{Entry, Envelope, Index, Node, Snapshot, Term};
--- a/crates/groups/src/planner/forming.rs
+++ b/crates/groups/src/planner/forming.rs
@@ -45,7 +45,7 @@
         for (host, seen) in input.registry.hosts() {
             let report = &seen.report;
             let stray = report.membership.as_ref().is_some_and(|part| self.is_stray(part));
-            let usable = report.service == *input.service
+            let usable = !self.is_plain(&report.service)
                 && !stray
                 && seen.is_present(self.limits.member_silence, input.now)
                 && !report.leaving
--- a/crates/groups/src/planner/mod.rs
+++ b/crates/groups/src/planner/mod.rs
@@ -25,8 +25,6 @@
 pub struct PlannerInput<'a> {
     /// What hosts have reported.
     pub registry: &'a Registry,
-    /// The service of the engines.
-    pub service: &'a ServiceId,
     /// The engine's parameters.
     pub engine: &'a Engine,
     /// Failure domains that operators have taken out.
@@ -116,6 +114,11 @@
         self.engine_service.as_ref() != Some(service)
     }
 
+    /// The service that has engines, if the manifest names one.
+    pub fn engine_service(&self) -> Option<&ServiceId> {
+        self.engine_service.as_ref()
+    }
+
     /// Notes which service has engines; none if the manifest names none.
     pub fn set_engine_service(&mut self, service: Option<ServiceId>) {
         self.engine_service = service;
--- a/crates/groups/src/registry.rs
+++ b/crates/groups/src/registry.rs
@@ -51,11 +51,6 @@
         &self.hosts
     }
 
-    /// A host that takes part and was heard within `silence`.
-    pub fn present(&self, host: &str, silence: Duration, now: Instant) -> Option<&HostSeen> {
-        self.hosts.get(host).filter(|seen| seen.is_present(silence, now))
-    }
-
     /// Takes a report; returns whether it changed what is known. A report that an earlier
     /// one of the same host, or a later life at the same address, has overtaken does not.
     pub fn take(&mut self, report: HostReport, now: Instant) -> bool {
--- a/crates/groups/tests/world/mod.rs
+++ b/crates/groups/tests/world/mod.rs
@@ -163,7 +163,6 @@
         let demand = BTreeMap::new();
         let input = PlannerInput {
             registry: &self.registry,
-            service: &self.field.service,
             engine: &self.field.engine,
             domains_out: &self.domains_out,
             demand: &demand,
