--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -56,12 +56,17 @@
         }
     }
 
-    /// Milliseconds from `began` to the first event.
-    fn first_ms(&self, began: Instant) -> u128 {
-        self.first.map_or(0, |at| at.saturating_duration_since(began).as_millis())
+    /// The time from `began` to the first event, if one came.
+    fn first_after(&self, began: Instant) -> Option<Duration> {
+        self.first.map(|at| at.saturating_duration_since(began))
     }
 }
 
+/// For a log line: 0 if nothing came.
+fn millis(time: Option<Duration>) -> u128 {
+    time.map_or(0, |time| time.as_millis())
+}
+
 /// Where the events come from now.
 #[derive(Debug)]
 struct Source {
@@ -230,7 +235,7 @@
             self.job.ask.id,
             self.job.tries,
             self.job.after_event,
-            self.pace.first_ms(self.job.began)
+            millis(self.pace.first_after(self.job.began))
         );
         (Err(io::Error::other(cause.to_owned())), self)
     }
@@ -239,8 +244,8 @@
         self.ended = true;
         let took = self.gateway.shared.clock.now().saturating_duration_since(self.job.began);
         self.gateway.counters.answer_seconds.observe(took.as_secs_f64());
-        if let Some(first) = self.pace.first {
-            let waited = first.saturating_duration_since(self.job.began);
+        let first = self.pace.first_after(self.job.began);
+        if let Some(waited) = first {
             self.gateway.counters.first_seconds.observe(waited.as_secs_f64());
         }
         info!(
@@ -248,7 +253,7 @@
             self.job.ask.id,
             self.job.tries,
             took.as_millis(),
-            self.pace.first_ms(self.job.began),
+            millis(first),
             self.pace.longest_pause.as_millis()
         );
         if let Some(source) = self.source.take()
