Log why a control process has no leader

After two of three disks were lost, the logs of control end with the last peer_met line: nothing says that an election can't succeed, or why. A process without a leader now logs every 2 s how many voters it reaches, how many are needed and which are silent. The voters line and the metric losses_tolerated say how many voters may be lost, so that a log that is weaker than its deployment asks for can be seen before the loss.

--- a/crates/coordinator/src/driver.rs
+++ b/crates/coordinator/src/driver.rs
@@ -85,6 +85,9 @@
     pub(crate) entries: BTreeMap<SessionId, Sender<ControlMessage>>,
     pub(crate) leader_state: Option<LeaderState>,
     pub(crate) next_gossip_at: Instant,
+    /// When this process first noticed that the log has no leader.
+    pub(crate) no_leader_since: Option<Instant>,
+    pub(crate) next_no_leader_log_at: Instant,
 }
 
 impl std::fmt::Debug for Driver {
@@ -131,6 +134,8 @@
             entries: BTreeMap::new(),
             leader_state: None,
             next_gossip_at: now,
+            no_leader_since: None,
+            next_no_leader_log_at: now,
         };
         for seed in driver.config.seeds.clone() {
             driver.connect_to(seed);
@@ -256,8 +261,13 @@
             Payload::Data(bytes) => self.apply_command(index, &bytes),
             Payload::Voters(voters) => {
                 self.ledger.applied = index;
+                let tolerated = voters.len().saturating_sub(1) / 2;
+                self.counters.losses_tolerated.set(tolerated as i64);
                 let voters: Vec<String> = voters.iter().map(|id| format!("{id:016x}")).collect();
-                info!("event=voters index={index} voters={}", voters.join(","));
+                info!(
+                    "event=voters index={index} tolerates={tolerated} voters={}",
+                    voters.join(",")
+                );
             }
             Payload::Empty => self.ledger.applied = index,
         }
--- a/crates/coordinator/src/membership.rs
+++ b/crates/coordinator/src/membership.rs
@@ -3,7 +3,7 @@
 use crate::driver::{Driver, Peer};
 use base::limits::HELLO_INTERVAL;
 use fleet::{ControlGossip, LogMessage};
-use log::info;
+use log::{info, warn};
 use model::ids::ControlId;
 use serde_json::json;
 use std::{
@@ -13,6 +13,10 @@
 
 /// Silence after which a control process is forgotten; its link stays if it is a seed.
 const PEER_TIMEOUT: Duration = Duration::from_secs(60);
+/// A peer counts as reachable if it has introduced itself within this time.
+const PEER_CONTACT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Minimum time between two log lines about a missing leader.
+const NO_LEADER_LOG_INTERVAL: Duration = Duration::from_secs(2);
 
 impl Driver {
     /// Introduces this process to the others at intervals, and bootstraps a new log once all
@@ -33,6 +37,39 @@
         };
         self.links.broadcast(&LogMessage::Gossip(gossip));
         self.bootstrap_if_first();
+        self.log_missing_leader(now);
+    }
+
+    /// Logs why the log has no leader: which voters this process can't reach.
+    fn log_missing_leader(&mut self, now: Instant) {
+        let node = &self.log.node;
+        if node.leader().is_some() {
+            self.no_leader_since = None;
+            return;
+        }
+        let since = *self.no_leader_since.get_or_insert(now);
+        if now < self.next_no_leader_log_at || now == since {
+            return;
+        }
+        self.next_no_leader_log_at = now + NO_LEADER_LOG_INTERVAL;
+        let is_reachable = |id: &ControlId| {
+            let contact = self.peers.get(id).map(|peer| peer.last_contact);
+            *id == node.id()
+                || contact
+                    .is_some_and(|at| now.saturating_duration_since(at) < PEER_CONTACT_TIMEOUT)
+        };
+        let (reachable, silent): (Vec<ControlId>, Vec<ControlId>) =
+            node.voters().iter().copied().partition(is_reachable);
+        let silent: Vec<String> = silent.iter().map(|id| format!("{id:016x}")).collect();
+        warn!(
+            "event=no_leader for_ms={} voters={} reachable={} needed={} silent={} records={}",
+            now.saturating_duration_since(since).as_millis(),
+            node.voters().len(),
+            reachable.len(),
+            node.voters().len() / 2 + 1,
+            silent.join(","),
+            node.last_index()
+        );
     }
 
     fn may_bootstrap(&self) -> bool {
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -9,6 +9,7 @@
 #[derive(Debug, Clone)]
 pub struct Counters {
     pub(crate) leads: Gauge,
+    pub(crate) losses_tolerated: Gauge,
     pub(crate) elections_won: Counter,
     pub(crate) syncs: Counter,
     pub(crate) log_bytes: Gauge,
@@ -36,6 +37,8 @@
         let counter = |name: &str, help: &str| metrics.counter(name, help);
         Counters {
             leads: metrics.gauge("leads", "1 while this process leads"),
+            losses_tolerated: metrics
+                .gauge("losses_tolerated", "voters of the log that may be lost at the same time"),
             elections_won: counter("elections_won", "elections won"),
             syncs: counter("log_syncs", "syncs of the log"),
             log_bytes: metrics.gauge("log_bytes", "size of the log file in bytes"),
