Add a failing test: the log is lost with two of six disks

The test log_lost_with_two_disks bootstraps three voters among six nodes, lets all lose power at 10 s and erases two disks. It fails: no leader 10 s after the last fault.

--- a/crates/replog/tests/random/main.rs
+++ b/crates/replog/tests/random/main.rs
@@ -72,3 +72,22 @@
     println!("5 voters: {cases} cases, {steps} steps");
     expect_that!(steps, gt(0));
 }
+
+/// Guards against a log whose voters tolerate fewer lost disks than the deployment.
+#[googletest::test]
+fn log_lost_with_two_disks() {
+    for wiped in [[0, 1], [0, 2], [1, 2], [2, 3], [4, 5]] {
+        World::run(Plan {
+            voters: 3,
+            nodes: 6,
+            seed: 1,
+            loss_percent: 0,
+            proposals_per_mille: 100,
+            faults: vec![Fault::LosePower {
+                at_ms: 10_000,
+                wiped: wiped.to_vec(),
+                duration_ms: 1200,
+            }],
+        });
+    }
+}
--- a/crates/replog/tests/random/world.rs
+++ b/crates/replog/tests/random/world.rs
@@ -20,11 +20,37 @@
 
 #[derive(Debug, Clone)]
 pub enum Fault {
-    Crash { at_ms: u64, node: usize, duration_ms: u64 },
-    Pause { at_ms: u64, node: usize, duration_ms: u64 },
-    Isolate { at_ms: u64, node: usize, duration_ms: u64 },
-    CutOneWay { at_ms: u64, from: usize, to: usize, duration_ms: u64 },
-    LoseDisk { at_ms: u64, node: usize },
+    Crash {
+        at_ms: u64,
+        node: usize,
+        duration_ms: u64,
+    },
+    Pause {
+        at_ms: u64,
+        node: usize,
+        duration_ms: u64,
+    },
+    Isolate {
+        at_ms: u64,
+        node: usize,
+        duration_ms: u64,
+    },
+    CutOneWay {
+        at_ms: u64,
+        from: usize,
+        to: usize,
+        duration_ms: u64,
+    },
+    LoseDisk {
+        at_ms: u64,
+        node: usize,
+    },
+    /// All nodes lose power at once, and the nodes `wiped` lose their disks too.
+    LosePower {
+        at_ms: u64,
+        wiped: Vec<usize>,
+        duration_ms: u64,
+    },
 }
 
 #[derive(Debug, Clone)]
@@ -357,6 +383,13 @@
                     self.one_way_cuts.insert((from, to), self.now_ms + duration_ms);
                 }
                 Fault::LoseDisk { at_ms, node } if due.contains(&at_ms) => self.lose_disk(node),
+                Fault::LosePower { at_ms, wiped, duration_ms } if due.contains(&at_ms) => {
+                    for number in 0..self.hosts.len() {
+                        self.hosts[number].node = None;
+                        self.hosts[number].down_until = self.now_ms + duration_ms;
+                    }
+                    wiped.iter().for_each(|number| self.wipe(*number));
+                }
                 _ => {}
             }
         }
@@ -384,11 +417,16 @@
         if !survives {
             return;
         }
+        self.hosts[number].down_until = self.now_ms + 200;
+        self.wipe(number);
+    }
+
+    /// Stops a node and erases its disk. It returns under a new identity.
+    fn wipe(&mut self, number: usize) {
         let host = &mut self.hosts[number];
         host.id = self.next_id;
         host.node = None;
         host.disk = Disk::default();
-        host.down_until = self.now_ms + 200;
         self.next_id += 1;
     }
 
