Give the log as many voters as the tolerated losses require

Cause: a new log was bootstrapped with the three seeds as voters and kept three for good, whatever the deployment tolerates; the membership only ever replaced a silent voter. With two of three disks gone no node can be elected, and none can change the voters. More control processes alone do not help: they stay learners.

The leader grows the voters to 2n+1, one at a time, from learners that have caught up; it goes to an even number only if a second learner is at hand, removes a silent voter before it adds another, and replaces a voter that lives in a domain with too many voters only after the new one has been added. Each new set must have a quorum of nodes that reply and have the log. The introduction of a control process names its failure domain, so processes of this version do not exchange messages with earlier ones.

--- a/bench/src/bin/replay.rs
+++ b/bench/src/bin/replay.rs
@@ -4,7 +4,7 @@
 use base::limits::{ELECTION_MAX, ELECTION_MIN, LEADER_LEASE, LOG_HEARTBEAT, VOTER_REPLACE_AFTER};
 use bench::pure::manifest;
 use fastrand::Rng;
-use replog::{Node, Timing};
+use replog::{Node, Timing, Tolerance};
 use state::{Command, State};
 use std::{
     path::Path,
@@ -46,8 +46,9 @@
         lease: LEADER_LEASE,
         replace_after: VOTER_REPLACE_AFTER,
     };
+    let tolerance = Tolerance { nodes: 0, domains: 0 };
     let start = Instant::now();
-    let mut node = Node::new(1, timing, loaded.restored, Rng::with_seed(1), start);
+    let mut node = Node::new(1, timing, tolerance, loaded.restored, Rng::with_seed(1), start);
     node.bootstrap([1].into());
     node.tick(start + ELECTION_MAX * 2);
     flush(&mut node, &mut store);
--- a/bin/control/src/driver/mod.rs
+++ b/bin/control/src/driver/mod.rs
@@ -26,7 +26,7 @@
 use model::{ids::ControlId, manifest::Manifest};
 use peer::{ByteCount, ControlHello, Links, PeerMessage};
 use publisher::Subscriber;
-use replog::{Entry, Node, Payload, Timing};
+use replog::{Entry, Node, Payload, Timing, Tolerance};
 use state::{Command, Reply, State};
 use std::{
     collections::BTreeMap,
@@ -92,9 +92,11 @@
             lease: LEADER_LEASE,
             replace_after: config.replace_after,
         };
+        // The settings don't say in which failure domain a process is.
+        let tolerance = Tolerance { nodes: config.voters / 2, domains: 0 };
         let now = clock.now();
         let state = decode_state(&loaded.restored.snapshot.data);
-        let node = Node::new(loaded.identity, timing, loaded.restored, Rng::new(), now);
+        let node = Node::new(loaded.identity, timing, tolerance, loaded.restored, Rng::new(), now);
         let mut driver = Driver {
             name: config.name.clone(),
             address: config.peer_listen,
--- a/crates/coordinator/src/driver.rs
+++ b/crates/coordinator/src/driver.rs
@@ -20,10 +20,10 @@
 use fleet::{ControlGossip, ControlMessage, GroupChange, LogMessage};
 use groups::Limits;
 use log::{info, warn};
-use model::ids::ControlId;
+use model::ids::{ControlId, DomainId};
 use net::Pool;
 use peer::Links;
-use replog::{Entry, Index, Node, Payload, Role, Timing};
+use replog::{Entry, Index, Node, Payload, Role, Timing, Tolerance};
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
@@ -38,8 +38,7 @@
 const MAX_BATCH: usize = 1024;
 /// Size of the log file, in bytes, at which the log is compacted into a snapshot.
 const MAX_LOG_BYTES: u64 = 8 << 20;
-/// Silence of a voter after which a process that has caught up replaces it. Only a process
-/// with a new disk is not a voter, so a replacement exists only after a disk was lost.
+/// Silence of a voter after which a process that has caught up replaces it.
 const VOTER_TIMEOUT: Duration = Duration::from_millis(2000);
 
 /// Configuration of the driver.
@@ -53,6 +52,10 @@
     pub public_address: SocketAddr,
     /// Where some of the control processes accept sessions.
     pub seeds: Vec<SocketAddr>,
+    /// The failure domain of this process.
+    pub domain: DomainId,
+    /// The losses of control processes that the log must survive.
+    pub tolerance: Tolerance,
     /// Whether this is the first start of the whole system, so that a new log may be created.
     pub may_bootstrap: bool,
     /// The interval at which backend servers report.
@@ -119,7 +122,9 @@
         };
         let now = clock.now();
         let ledger = decode_state(&loaded.restored.snapshot.data);
-        let node = Node::new(loaded.identity, timing, loaded.restored, Rng::new(), now);
+        let (id, tolerance) = (loaded.identity, config.tolerance);
+        let mut node = Node::new(id, timing, tolerance, loaded.restored, Rng::new(), now);
+        node.set_domain(id, config.domain.clone());
         let mut driver = Driver {
             config,
             clock,
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -17,6 +17,7 @@
 pub use events::{Call, Event, Handle, Reply, SessionId};
 pub use ledger::{Command, Ledger, StoredManifest};
 pub use metrics::Counters;
+pub use replog::Tolerance;
 pub use sessions::Sessions;
 pub use shares::SlotShares;
 
--- a/crates/coordinator/src/membership.rs
+++ b/crates/coordinator/src/membership.rs
@@ -32,6 +32,7 @@
             name: self.config.name.clone(),
             peer_address: self.config.peer_address,
             public_address: self.config.public_address,
+            domain: self.config.domain.clone(),
             may_bootstrap: self.may_bootstrap(),
             peer_addresses: self.links.addresses(),
         };
@@ -119,6 +120,7 @@
             self.connect_to(*address);
         }
         self.log.node.add_learner(gossip.id, now);
+        self.log.node.set_domain(gossip.id, gossip.domain.clone());
         if !self.peers.contains_key(&gossip.id) {
             info!("event=peer_met id={:016x} name={}", gossip.id, gossip.name);
         }
--- a/crates/durable/tests/log.rs
+++ b/crates/durable/tests/log.rs
@@ -2,7 +2,7 @@
 
 use durable::{DurableLog, decode_state, encode, receive_batch};
 use googletest::prelude::*;
-use replog::{Node, Payload, Timing, Voters};
+use replog::{Node, Payload, Timing, Tolerance, Voters};
 use std::{
     path::Path,
     sync::mpsc,
@@ -22,8 +22,9 @@
         lease: MS * 450,
         replace_after: MS * 2000,
     };
+    let tolerance = Tolerance { nodes: 0, domains: 0 };
     let rng = fastrand::Rng::with_seed(1);
-    DurableLog::new(Node::new(loaded.identity, timing, loaded.restored, rng, now), store)
+    DurableLog::new(Node::new(loaded.identity, timing, tolerance, loaded.restored, rng, now), store)
 }
 
 /// A log whose only voter is the leader.
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -1,7 +1,7 @@
 //! Messages between control processes, and between entries and control.
 
 use crate::{GroupName, Manifest, RoutingView};
-use model::ids::{ControlId, EntryId, ModelId};
+use model::ids::{ControlId, DomainId, EntryId, ModelId};
 use replog::Envelope;
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, sync::Arc};
@@ -22,6 +22,8 @@
     pub peer_address: SocketAddr,
     /// The address on which operators and backend servers reach it.
     pub public_address: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainId,
     /// Whether it may bootstrap a new log: it was started with the setting `bootstrap`, and its log
     /// is empty.
     pub may_bootstrap: bool,
--- a/crates/replog/src/lib.rs
+++ b/crates/replog/src/lib.rs
@@ -18,10 +18,14 @@
 
 pub use log::{Entry, Payload, Snapshot, Voters};
 pub use message::{Envelope, Message};
-pub use node::{HardState, Node, NotLeader, Output, Progress, Restored, Role, Timing, Write};
+pub use node::{
+    HardState, Node, NotLeader, Output, Progress, Restored, Role, Timing, Tolerance, Write,
+};
 
 /// A node's identifier: the random identity of its data folder.
 pub type NodeId = u64;
+/// The name of a failure domain.
+pub type Domain = Box<str>;
 /// The position of an entry in the log, starting at 1.
 pub type Index = u64;
 /// A Raft term. Each term has at most one leader.
--- a/crates/replog/src/node.rs
+++ b/crates/replog/src/node.rs
@@ -1,7 +1,7 @@
 //! A Raft node: its state, inputs and outputs.
 
 use crate::{
-    Index, NodeId, Term,
+    Domain, Index, NodeId, Term,
     log::{Entry, Log, Payload, Snapshot, Voters},
     message::{Envelope, Message},
 };
@@ -28,6 +28,15 @@
     pub replace_after: Duration,
 }
 
+/// The losses that the log must survive, which decide the number and the places of its voters.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Tolerance {
+    /// Nodes that may be lost at the same time, with their disks.
+    pub nodes: usize,
+    /// Failure domains that may be lost at the same time, as an alternative to `nodes`.
+    pub domains: usize,
+}
+
 /// The Raft state, besides the log, that must survive a restart.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HardState {
@@ -120,6 +129,9 @@
 pub struct Node {
     pub(crate) id: NodeId,
     pub(crate) timing: Timing,
+    pub(crate) tolerance: Tolerance,
+    /// The known failure domains of the nodes.
+    pub(crate) domains: BTreeMap<NodeId, Domain>,
     pub(crate) rng: Rng,
     pub(crate) hard_state: HardState,
     pub(crate) log: Log,
@@ -148,7 +160,14 @@
 
 impl Node {
     /// Creates a node from its stored state. `rng` randomises the election timeouts.
-    pub fn new(id: NodeId, timing: Timing, restored: Restored, rng: Rng, now: Instant) -> Node {
+    pub fn new(
+        id: NodeId,
+        timing: Timing,
+        tolerance: Tolerance,
+        restored: Restored,
+        rng: Rng,
+        now: Instant,
+    ) -> Node {
         let Restored { hard_state, snapshot, entries } = restored;
         let commit = snapshot.index;
         let log = Log::new(snapshot, entries);
@@ -158,6 +177,8 @@
             id,
             vote_blocked_until: now + timing.election_min,
             timing,
+            tolerance,
+            domains: BTreeMap::new(),
             rng,
             hard_state,
             log,
--- a/crates/replog/tests/random/main.rs
+++ b/crates/replog/tests/random/main.rs
@@ -10,9 +10,11 @@
 use proptest::{
     collection::vec,
     prelude::*,
+    sample,
     test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
 };
-use std::env;
+use replog::Tolerance;
+use std::{env, time::Duration};
 use world::{Fault, Plan, World};
 
 const DEFAULT_CASES: u32 = 48;
@@ -49,7 +51,21 @@
     let proposals = prop_oneof![Just(2_u32), Just(100)];
     let strategy = (any::<u64>(), 0..30_u32, proposals, faults(nodes));
     let outcome = runner.run(&strategy, |(seed, loss_percent, proposals_per_mille, faults)| {
-        let plan = Plan { voters, nodes, seed, loss_percent, proposals_per_mille, faults };
+        let tolerance = Tolerance { nodes: voters / 2, domains: 1 };
+        let domains = nodes;
+        let plan = Plan {
+            voters,
+            nodes,
+            tolerance,
+            domains,
+            replace_after: Duration::from_secs(3),
+            random_faults: true,
+            leader_within_ms: None,
+            seed,
+            loss_percent,
+            proposals_per_mille,
+            faults,
+        };
         steps.set(steps.get() + World::run(plan));
         Ok(())
     });
@@ -80,6 +96,11 @@
         World::run(Plan {
             voters: 3,
             nodes: 6,
+            tolerance: Tolerance { nodes: 2, domains: 1 },
+            domains: 3,
+            replace_after: Duration::from_secs(2),
+            random_faults: false,
+            leader_within_ms: Some(3000),
             seed: 1,
             loss_percent: 0,
             proposals_per_mille: 100,
@@ -91,3 +112,100 @@
         });
     }
 }
+
+/// One loss that the log must survive.
+#[derive(Debug, Clone)]
+enum Loss {
+    /// These nodes, each in one of the ways of [`node_fault`].
+    Nodes(Vec<(usize, u8)>),
+    /// All nodes of a failure domain, whose disks are kept.
+    Domain { number: usize, isolated: bool },
+    /// All nodes lose power, and these lose their disks.
+    Power(Vec<usize>),
+}
+
+fn loss(nodes: usize, domains: usize, tolerated: usize) -> impl Strategy<Value = Loss> {
+    let ids: Vec<usize> = (0..nodes).collect();
+    let some = sample::subsequence(ids, 1..=tolerated);
+    prop_oneof![
+        (some.clone(), vec(0..4_u8, tolerated))
+            .prop_map(|(ids, ways)| Loss::Nodes(ids.into_iter().zip(ways).collect())),
+        (0..domains, any::<bool>())
+            .prop_map(|(number, isolated)| Loss::Domain { number, isolated }),
+        some.prop_map(Loss::Power),
+    ]
+}
+
+fn node_fault(way: u8, at_ms: u64, node: usize, duration_ms: u64) -> Fault {
+    match way {
+        0 => Fault::Crash { at_ms, node, duration_ms },
+        1 => Fault::Pause { at_ms, node, duration_ms },
+        2 => Fault::Isolate { at_ms, node, duration_ms },
+        _ => Fault::Wipe { at_ms, node, duration_ms },
+    }
+}
+
+/// Runs losses one after the other, each `catch_up_ms` after the end of the one before.
+fn run_tolerated_losses(nodes: usize, domains: usize, tolerated: usize, catch_up_ms: u64) {
+    let config = Config { cases: cases(), failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let losses = vec((loss(nodes, domains, tolerated), 300..5_000_u64), 1..4);
+    let outcome = runner.run(&(any::<u64>(), losses), |(seed, losses)| {
+        let mut at_ms = 6000;
+        let mut faults = Vec::new();
+        for (loss, duration_ms) in losses {
+            match loss {
+                Loss::Nodes(nodes) => faults.extend(
+                    nodes.into_iter().map(|(node, way)| node_fault(way, at_ms, node, duration_ms)),
+                ),
+                Loss::Domain { number, isolated } => {
+                    let way = if isolated { 2 } else { 0 };
+                    let lost = (0..nodes).filter(|node| node % domains == number);
+                    faults.extend(lost.map(|node| node_fault(way, at_ms, node, duration_ms)));
+                }
+                Loss::Power(wiped) => {
+                    faults.push(Fault::LosePower { at_ms, wiped, duration_ms });
+                }
+            }
+            at_ms += duration_ms + catch_up_ms;
+        }
+        World::run(Plan {
+            voters: 3,
+            nodes,
+            tolerance: Tolerance { nodes: tolerated, domains: 1 },
+            domains,
+            replace_after: Duration::from_secs(2),
+            random_faults: false,
+            leader_within_ms: Some(3000),
+            seed,
+            loss_percent: 0,
+            proposals_per_mille: 100,
+            faults,
+        });
+        Ok(())
+    });
+    if let Err(e) = outcome {
+        panic!("{e}");
+    }
+}
+
+#[googletest::test]
+fn log_tolerated_losses_of_three_nodes() {
+    run_tolerated_losses(3, 3, 1, 4000);
+}
+
+#[googletest::test]
+fn log_tolerated_losses_of_four_nodes() {
+    run_tolerated_losses(4, 4, 1, 4000);
+}
+
+#[googletest::test]
+fn log_tolerated_losses_of_five_nodes_in_four_domains() {
+    run_tolerated_losses(5, 4, 2, 6000);
+}
+
+#[googletest::test]
+fn log_tolerated_losses_of_six_nodes_in_three_domains() {
+    run_tolerated_losses(6, 3, 2, 6000);
+}
--- a/crates/replog/tests/random/world.rs
+++ b/crates/replog/tests/random/world.rs
@@ -4,7 +4,7 @@
 use fastrand::Rng;
 use replog::{
     Entry, Envelope, HardState, Index, Node, NodeId, Payload, Restored, Role, Snapshot, Term,
-    Timing, Voters, Write,
+    Timing, Tolerance, Voters, Write,
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -51,13 +51,43 @@
         wiped: Vec<usize>,
         duration_ms: u64,
     },
+    /// A node goes down and loses its disk.
+    Wipe {
+        at_ms: u64,
+        node: usize,
+        duration_ms: u64,
+    },
+}
+
+impl Fault {
+    /// When the fault begins and ends.
+    fn times(&self) -> [u64; 2] {
+        let (at_ms, duration_ms) = match self {
+            Fault::Crash { at_ms, duration_ms, .. }
+            | Fault::Pause { at_ms, duration_ms, .. }
+            | Fault::Isolate { at_ms, duration_ms, .. }
+            | Fault::CutOneWay { at_ms, duration_ms, .. }
+            | Fault::LosePower { at_ms, duration_ms, .. }
+            | Fault::Wipe { at_ms, duration_ms, .. } => (*at_ms, *duration_ms),
+            Fault::LoseDisk { at_ms, .. } => (*at_ms, 200),
+        };
+        [at_ms, at_ms + duration_ms]
+    }
 }
 
 #[derive(Debug, Clone)]
 pub struct Plan {
     pub voters: usize,
     pub nodes: usize,
+    pub tolerance: Tolerance,
+    /// Number of failure domains that the nodes are spread over.
+    pub domains: usize,
     pub seed: u64,
+    pub replace_after: Duration,
+    /// Whether messages are delayed and duplicated, and nodes crash during writes, at random.
+    pub random_faults: bool,
+    /// Time without a fault beginning or ending after which a node must hold the lease, if set.
+    pub leader_within_ms: Option<u64>,
     pub loss_percent: u32,
     pub proposals_per_mille: u32,
     pub faults: Vec<Fault>,
@@ -116,13 +146,13 @@
     next_id: NodeId,
 }
 
-fn timing() -> Timing {
+fn timing(replace_after: Duration) -> Timing {
     Timing {
         heartbeat: Duration::from_millis(100),
         election_min: Duration::from_millis(500),
         election_max: Duration::from_millis(1000),
         lease: Duration::from_millis(450),
-        replace_after: Duration::from_secs(3),
+        replace_after,
     }
 }
 
@@ -193,7 +223,14 @@
         };
         let applied = decode(&host.disk.snapshot.data);
         let rng = Rng::with_seed(self.rng.u64(..));
-        let node = Node::new(host.id, timing(), restored, rng, now);
+        let node = Node::new(
+            host.id,
+            timing(self.plan.replace_after),
+            self.plan.tolerance,
+            restored,
+            rng,
+            now,
+        );
         self.hosts[number].applied = applied;
         self.hosts[number].node = Some(node);
     }
@@ -217,6 +254,7 @@
             }
         }
         self.check_leases();
+        self.check_leader_present();
     }
 
     fn is_running(&self, number: usize) -> bool {
@@ -271,6 +309,7 @@
                 return;
             }
             let crash = may_crash
+                && self.plan.random_faults
                 && !output.writes.is_empty()
                 && self.now_ms < FAULTS_END_MS
                 && self.rng.u32(..1000) == 0;
@@ -318,7 +357,7 @@
             return;
         };
         let cut = self.one_way_cuts.get(&(from, to)).is_some_and(|until| *until > self.now_ms);
-        let faults_over = self.now_ms > FAULTS_END_MS;
+        let faults_over = !self.plan.random_faults || self.now_ms > FAULTS_END_MS;
         let lost = !faults_over && self.rng.u32(..100) < self.plan.loss_percent;
         if self.is_isolated(from) || self.is_isolated(to) || cut || lost {
             return;
@@ -358,7 +397,10 @@
             if self.is_running(number) {
                 let now = self.clock(number);
                 let node = self.hosts[number].node.as_mut().expect("a running node");
-                ids.iter().for_each(|id| node.add_learner(*id, now));
+                for (other, id) in ids.iter().enumerate() {
+                    node.add_learner(*id, now);
+                    node.set_domain(*id, format!("domain-{}", other % self.plan.domains).into());
+                }
             }
         }
     }
@@ -390,6 +432,10 @@
                     }
                     wiped.iter().for_each(|number| self.wipe(*number));
                 }
+                Fault::Wipe { at_ms, node, duration_ms } if due.contains(&at_ms) => {
+                    self.wipe(node);
+                    self.hosts[node].down_until = self.now_ms + duration_ms;
+                }
                 _ => {}
             }
         }
@@ -456,6 +502,27 @@
         );
     }
 
+    fn check_leader_present(&self) {
+        let Some(within) = self.plan.leader_within_ms else {
+            return;
+        };
+        let times = self.plan.faults.iter().flat_map(Fault::times).chain([0]);
+        let last = times.filter(|at| *at <= self.now_ms).max().unwrap_or_default();
+        let has_leader = (0..self.hosts.len())
+            .filter(|number| self.is_running(*number) && !self.is_isolated(*number))
+            .any(|number| {
+                let node = self.hosts[number].node.as_ref();
+                node.is_some_and(|node| node.holds_lease(self.clock(number)))
+            });
+        let all_down = self.hosts.iter().all(|host| host.down_until > self.now_ms);
+        assert!(
+            has_leader || all_down || self.now_ms < last + within,
+            "no leader at {} ms, {} ms after a fault began or ended",
+            self.now_ms,
+            self.now_ms - last
+        );
+    }
+
     /// After the faults one node holds the lease, it has every acknowledged entry, and the
     /// voters have the same log.
     fn check_end(&self) {
