Replace a silent voter after one second instead of two

A new leader knows nothing of the silence before its election, so a voter whose disk was lost kept its vote for the election and 2 s more. A second loss 4 s after the first one's return, which the deployment allows, then met a log that was still one voter short. Found by log_tolerated_losses_of_four_nodes with 3,000 cases (1 failed); log_lost_voter_replaced_too_late is that case and fails with a timeout of 2 s. With 1 s, 6,000 cases of each size show it no more; the one failure left there has another cause (split votes).

--- a/crates/coordinator/src/driver.rs
+++ b/crates/coordinator/src/driver.rs
@@ -39,7 +39,7 @@
 /// Size of the log file, in bytes, at which the log is compacted into a snapshot.
 const MAX_LOG_BYTES: u64 = 8 << 20;
 /// Silence of a voter after which a process that has caught up replaces it.
-const VOTER_TIMEOUT: Duration = Duration::from_millis(2000);
+const VOTER_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// Configuration of the driver.
 #[derive(Debug, Clone)]
