Break ties between nodes that run a pre-vote at the same time

After a power loss with one disk lost, the two voters that are left can only elect a leader if one votes for the other. When both ran a pre-vote within one round trip, both became candidates and split the votes; three such elections in a row left the log without a leader for 3 s. Found by 6,000 random cases (1 failed); log_votes_split_after_power_loss is that case and fails before.

A node in a pre-vote now rejects the pre-vote of a node with a smaller log or identifier, and ends its own for a greater one.

--- a/crates/replog/src/election.rs
+++ b/crates/replog/src/election.rs
@@ -38,9 +38,18 @@
         last_term: Term,
         now: Instant,
     ) {
+        // Of two nodes that run a pre-vote at the same time, the one with the greater log, then
+        // identifier, goes on. Otherwise both could become candidates and split the votes.
+        let competes = self.role == Role::PreCandidate;
+        let own = (self.log.last_term(), self.log.last_index(), self.id);
         let granted = term > self.hard_state.term
             && self.may_vote(now)
-            && self.is_up_to_date(last_index, last_term);
+            && self.is_up_to_date(last_index, last_term)
+            && !(competes && own > (last_term, last_index, from));
+        if granted && competes {
+            self.role = Role::Follower;
+            self.reset_election_deadline(now);
+        }
         let own_term = self.hard_state.term;
         self.send(from, Message::PreVoteReply { term, own_term, granted });
     }
--- a/crates/replog/tests/random/main.rs
+++ b/crates/replog/tests/random/main.rs
@@ -210,6 +210,24 @@
     run_tolerated_losses(6, 3, 2, 6000);
 }
 
+/// Guards against elections that fail again and again because the two nodes left split the votes.
+#[googletest::test]
+fn log_votes_split_after_power_loss() {
+    World::run(Plan {
+        voters: 3,
+        nodes: 4,
+        tolerance: Tolerance { nodes: 1, domains: 1 },
+        domains: 4,
+        replace_after: Duration::from_secs(1),
+        random_faults: false,
+        leader_within_ms: Some(3000),
+        seed: 1_884_975_464_838_184_694,
+        loss_percent: 0,
+        proposals_per_mille: 100,
+        faults: vec![Fault::LosePower { at_ms: 6000, wiped: vec![2], duration_ms: 300 }],
+    });
+}
+
 /// Guards against a lost voter that still counts as one when the next one is lost.
 #[googletest::test]
 fn log_lost_voter_replaced_too_late() {
