--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -3,7 +3,7 @@
 use crate::refusal::Refusal;
 use http::Body;
 use hyper::{HeaderMap, Response, StatusCode};
-use model::ids::{HostId, ModelId, TeamId};
+use model::ids::{HostId, ModelId, PromptPartId, TeamId};
 use std::{fmt, time::Duration};
 
 /// What the headers of a request say about it.
@@ -21,6 +21,8 @@
     pub prompt_tokens: u64,
     /// Expected number of tokens in the response.
     pub answer_tokens: u64,
+    /// The parts of the prompt that other requests may share, in order.
+    pub shared_parts: Box<[PromptPartId]>,
     /// The id of the last event that the caller received from an earlier response.
     pub after_event: Option<u64>,
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -265,10 +265,11 @@
                 }
             };
             info!(
-                "event=try_failed id={} host={host} try={} ran={} cause=\"{}\"",
+                "event=try_failed id={} host={host} try={} ran={} parts={:x?} cause=\"{}\"",
                 request.info.id,
                 request.attempts,
                 error.verdict.header_value(),
+                request.info.shared_parts,
                 error.cause
             );
             request.avoid.push(host);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -213,8 +213,8 @@
         };
         let request = &mut self.request;
         info!(
-            "event=stream_broken id={} host={} after_event={:?} cause=\"{cause}\"",
-            request.info.id, upstream.host, request.after_event
+            "event=stream_broken id={} host={} after_event={:?} parts={:x?} cause=\"{cause}\"",
+            request.info.id, upstream.host, request.after_event, request.info.shared_parts
         );
         request.avoid.push(upstream.host.clone());
         request.verdict = Verdict::MayHaveRun;
