Quarantine prompt parts that crash backend servers

Cause: nothing relates a crash to what the requests on the server had in common. Each entry resumes the broken stream at the next head, and knows nothing of what the others saw.

Entries now record which connections broke, with the shared parts of requests of which no event had arrived, which servers refuse connections, and which parts were answered. The leader merges this and names the part that the crashes have in common and that has not been answered since: after three crashes in which a request with it was being answered (more if it was only waiting, or if several parts fit). Crashes count only if the server refuses connections or breaks three requests at once, and crashes within 100 ms count once, so that failures of single requests and the loss of many hosts convict nothing. The log holds the parts in quarantine, so a new leader knows them; evidence that is not yet enough is sent again to a new leader. Entries reject such requests at once with 503, not run, and the end of the quarantine as Retry-After; others go on.

The product's own entries see no prompt parts and are unchanged.

--- a/crates/coordinator/src/driver.rs
+++ b/crates/coordinator/src/driver.rs
@@ -23,6 +23,7 @@
 use model::ids::{ControlId, DomainId};
 use net::Pool;
 use peer::Links;
+use quarantine::QuarantineChange;
 use replog::{Entry, Index, Node, Payload, Role, Timing, Tolerance};
 use std::{
     collections::BTreeMap,
@@ -292,7 +293,11 @@
                     _ => None,
                 };
                 let label = command_label(&command);
+                let quarantine_changed = matches!(command, Command::Quarantine(_));
                 let manifest_changed = self.ledger.apply(index, command);
+                if quarantine_changed {
+                    self.publish_quarantine();
+                }
                 if let Some(name) = formed_group {
                     self.confirm_group(&name);
                 }
@@ -355,5 +360,8 @@
         Command::DomainBack(_) => "domain_back",
         Command::Group(GroupChange::Formed { .. }) => "group_formed",
         Command::Group(GroupChange::Ended { .. }) => "group_ended",
+        Command::Quarantine(QuarantineChange::Begin(_)) => "quarantine_begun",
+        Command::Quarantine(QuarantineChange::End(_)) => "quarantine_ended",
+        Command::Quarantine(QuarantineChange::Forget(_)) => "quarantine_forgotten",
     }
 }
--- a/crates/coordinator/src/leader/entries.rs
+++ b/crates/coordinator/src/leader/entries.rs
@@ -34,6 +34,9 @@
                 if let Some(view) = &leader.view {
                     send_or_close(&tx, ControlMessage::View(view.clone()));
                 }
+                if let Some(message) = self.quarantine_message() {
+                    send_or_close(&tx, message);
+                }
             }
             _ => send_or_close(&tx, self.not_leader()),
         }
@@ -57,7 +60,15 @@
         message: EntryMessage,
         now: Instant,
     ) {
-        let EntryMessage::Status(status) = message;
+        let status = match message {
+            EntryMessage::Status(status) => status,
+            EntryMessage::Evidence(observations) => {
+                if self.log.node.holds_lease(now) {
+                    self.handle_evidence(observations, now);
+                }
+                return;
+            }
+        };
         match &mut self.leader_state {
             Some(leader) if self.log.node.holds_lease(now) => {
                 let before = leader.entries.get(&session);
--- a/crates/coordinator/src/leader/hosts.rs
+++ b/crates/coordinator/src/leader/hosts.rs
@@ -111,6 +111,9 @@
             self.counters.orders_failed.inc();
         }
         let unanswered = matches!(outcome.result, OrderResult::NoAnswer | OrderResult::Unreachable);
+        if outcome.result == OrderResult::Unreachable {
+            leader.quarantine.detector.record_unreachable(&outcome.order.host, now);
+        }
         if outcome.order.kind == OrderKind::Probe && unanswered {
             leader.registry.suspect(&outcome.order.host);
         }
--- a/crates/coordinator/src/leader/mod.rs
+++ b/crates/coordinator/src/leader/mod.rs
@@ -2,7 +2,9 @@
 
 mod entries;
 mod hosts;
+mod quarantine;
 
+use self::quarantine::Quarantine;
 use crate::{
     driver::Driver,
     events::{Event, Reply, SessionId},
@@ -54,6 +56,7 @@
     logged_phases: BTreeMap<GroupName, Phase>,
     entries: BTreeMap<SessionId, (EntryStatus, Instant)>,
     shares: SlotShares,
+    quarantine: Quarantine,
     /// When slots were last divided among the entries.
     shared_at: Instant,
     /// When the uses of hosts were last recorded.
@@ -120,6 +123,7 @@
             logged_phases: BTreeMap::new(),
             entries: BTreeMap::new(),
             shares: SlotShares::default(),
+            quarantine: Quarantine::default(),
             shared_at: now,
             host_uses_at: now,
             manifest: None,
@@ -133,6 +137,7 @@
             replies_after_view: Vec::new(),
         });
         self.publish_manifest();
+        self.publish_quarantine();
         self.query_members();
     }
 
@@ -214,6 +219,7 @@
             self.schedule_next_plan(now);
         }
         self.record_host_uses(now);
+        self.end_quarantines(now);
         let Some(leader) = &mut self.leader_state else {
             return;
         };
--- a/crates/coordinator/src/ledger.rs
+++ b/crates/coordinator/src/ledger.rs
@@ -3,7 +3,8 @@
 
 use fleet::{GroupChange, GroupName, GroupRecord, Manifest};
 use model::ids::{DomainId, HostId};
-use serde::{Deserialize, Serialize};
+use quarantine::{QuarantineChange, QuarantineRecords};
+use serde::{Deserialize, Deserializer, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A manifest, both as submitted and decoded.
@@ -26,6 +27,8 @@
     DomainBack(DomainId),
     /// Adds or removes a group.
     Group(GroupChange),
+    /// Changes the prompt parts in quarantine.
+    Quarantine(QuarantineChange),
 }
 
 /// The state that the log replicates.
@@ -39,6 +42,18 @@
     pub domains_out: BTreeSet<DomainId>,
     /// The groups whose members may have received a join order.
     pub groups: BTreeMap<GroupName, GroupRecord>,
+    /// The prompt parts that are or have been in quarantine.
+    #[serde(deserialize_with = "default_at_end")]
+    pub quarantine: QuarantineRecords,
+}
+
+/// Reads the last field of a state, which snapshots of earlier versions don't have.
+fn default_at_end<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de> + Default,
+{
+    Ok(T::deserialize(deserializer).unwrap_or_default())
 }
 
 impl Ledger {
@@ -68,6 +83,7 @@
             Command::Group(GroupChange::Ended { name }) => {
                 self.groups.remove(&name);
             }
+            Command::Quarantine(change) => self.quarantine.apply(index, change),
         }
         false
     }
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -10,6 +10,7 @@
 pub struct Counters {
     pub(crate) leads: Gauge,
     pub(crate) losses_tolerated: Gauge,
+    pub(crate) parts_in_quarantine: Gauge,
     pub(crate) elections_won: Counter,
     pub(crate) syncs: Counter,
     pub(crate) log_bytes: Gauge,
@@ -39,6 +40,8 @@
             leads: metrics.gauge("leads", "1 while this process leads"),
             losses_tolerated: metrics
                 .gauge("losses_tolerated", "voters of the log that may be lost at the same time"),
+            parts_in_quarantine: metrics
+                .gauge("parts_in_quarantine", "prompt parts whose requests are rejected"),
             elections_won: counter("elections_won", "elections won"),
             syncs: counter("log_syncs", "syncs of the log"),
             log_bytes: metrics.gauge("log_bytes", "size of the log file in bytes"),
--- a/crates/coordinator/tests/ledger.rs
+++ b/crates/coordinator/tests/ledger.rs
@@ -1,9 +1,15 @@
 //! Records applied to the replicated state.
 
 use coordinator::{Command, Ledger, StoredManifest};
-use fleet::{CallerLimits, GroupChange, GroupMember, GroupRecord, Manifest};
+use fleet::{CallerLimits, GroupChange, GroupMember, GroupName, GroupRecord, Manifest};
 use googletest::prelude::*;
-use std::{net::SocketAddr, time::Duration};
+use model::ids::DomainId;
+use quarantine::QuarantineChange;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 fn manifest(number: u64, body: &str) -> Command {
     let limits = CallerLimits {
@@ -72,3 +78,38 @@
     ledger.apply(1, group_formed("g1", &["a", "b"]));
     ledger.apply(2, group_formed("g2", &["b", "c"]));
 }
+
+/// The state of versions without quarantine.
+#[derive(serde::Serialize)]
+struct OldLedger {
+    applied: u64,
+    manifest: Option<Box<StoredManifest>>,
+    domains_out: BTreeSet<DomainId>,
+    groups: BTreeMap<GroupName, GroupRecord>,
+}
+
+/// Guards against snapshots of earlier versions that can't be read.
+#[gtest]
+fn decode_snapshot_without_quarantine() {
+    let old = OldLedger {
+        applied: 7,
+        manifest: None,
+        domains_out: BTreeSet::from(["z-a".into()]),
+        groups: BTreeMap::new(),
+    };
+    let ledger: Ledger = durable::decode_state(&durable::encode(&old));
+    expect_that!(ledger.applied, eq(7));
+    expect_that!(ledger.domains_out.len(), eq(1));
+    expect_true!(ledger.quarantine.is_empty());
+    let again: Ledger = durable::decode_state(&durable::encode(&ledger));
+    expect_that!(again, eq(&ledger));
+}
+
+#[gtest]
+fn decode_snapshot_with_quarantine() {
+    let mut ledger = Ledger::default();
+    ledger.apply(3, Command::Quarantine(QuarantineChange::Begin(0xdead)));
+    let again: Ledger = durable::decode_state(&durable::encode(&ledger));
+    expect_that!(again, eq(&ledger));
+    expect_true!(again.quarantine.is_in_quarantine(0xdead));
+}
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -1,10 +1,11 @@
 //! Messages between control processes, and between entries and control.
 
 use crate::{GroupName, Manifest, RoutingView};
-use model::ids::{ControlId, DomainId, EntryId, ModelId};
+use model::ids::{ControlId, DomainId, EntryId, ModelId, PromptPartId};
+use quarantine::Observation;
 use replog::Envelope;
 use serde::{Deserialize, Serialize};
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 /// The path of sessions between control processes.
 pub const LOG_SESSION_PATH: &str = "/control/log";
@@ -67,6 +68,8 @@
 pub enum EntryMessage {
     /// The periodic status report of the entry.
     Status(EntryStatus),
+    /// Observations of the entry that this session has not sent yet.
+    Evidence(Vec<Observation>),
 }
 
 /// A message from control to an entry.
@@ -90,4 +93,6 @@
         /// Session addresses of control processes.
         control_addresses: Vec<SocketAddr>,
     },
+    /// The prompt parts in quarantine, each with the time left.
+    Quarantine(Vec<(PromptPartId, Duration)>),
 }
--- a/crates/gateway/src/control_client.rs
+++ b/crates/gateway/src/control_client.rs
@@ -3,9 +3,10 @@
 use crate::{metrics::GatewayMetrics, state::GatewayState};
 use async_channel::Receiver;
 use async_io::Timer;
-use base::secret::Secret;
+use base::{secret::Secret, sync::lock};
 use fleet::{ControlMessage, ENTRY_SESSION_PATH, EntryMessage};
 use log::info;
+use model::ids::PromptPartId;
 use net::{Pool, with_timeout};
 use peer::{ByteCount, Session, open};
 use std::{
@@ -101,6 +102,7 @@
         let mut next_status_at = Instant::now();
         let mut last_contact = Instant::now();
         let mut is_leader = false;
+        lock(&self.state.evidence).restart();
         loop {
             let now = Instant::now();
             if now >= next_status_at {
@@ -109,6 +111,12 @@
                 if session.tx.try_send(status).is_err() {
                     break;
                 }
+                let unsent = lock(&self.state.evidence).take_unsent(self.state.clock.now());
+                if !unsent.is_empty()
+                    && session.tx.try_send(EntryMessage::Evidence(unsent)).is_err()
+                {
+                    break;
+                }
             }
             if now.saturating_duration_since(last_contact) > CONTROL_TIMEOUT {
                 break;
@@ -153,6 +161,11 @@
                 info!("event=share part={share:.3}");
                 self.state.set_share(share);
             }
+            ControlMessage::Quarantine(parts) => {
+                info!("event=quarantine parts={:x?}", ids(&parts));
+                self.metrics.parts_in_quarantine.set(parts.len() as i64);
+                self.state.set_blocked_parts(&parts);
+            }
             ControlMessage::Keepalive { control_addresses } => {
                 self.add_controls(&control_addresses);
             }
@@ -171,3 +184,7 @@
         self.known_controls.drain(..excess);
     }
 }
+
+fn ids(parts: &[(PromptPartId, Duration)]) -> Vec<PromptPartId> {
+    parts.iter().map(|(part, _)| *part).collect()
+}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -191,6 +191,9 @@
     ) -> Result<ProxyRequest, Refusal> {
         let table = self.state.table().ok_or(Refusal::NoManifest)?;
         let (route, team) = match_route(&table, &parts, &info)?;
+        if let Some(retry_after) = self.state.blocked_for(&info.shared_parts) {
+            return Err(Refusal::Quarantined { retry_after });
+        }
         let limit = table.manifest().limits.body_bytes;
         let timeout = info.timeout.unwrap_or(route.timeout).min(route.timeout);
         let deadline = received_at + timeout;
@@ -237,6 +240,12 @@
             if now >= request.deadline {
                 return Err(Refusal::TimedOut { verdict: request.verdict });
             }
+            if let Some(retry_after) = self.state.blocked_for(&request.info.shared_parts) {
+                return Err(match request.verdict {
+                    Verdict::NotRun => Refusal::Quarantined { retry_after },
+                    _ => Refusal::ResponseLost,
+                });
+            }
             let choice = match self.choose_backend(request, now) {
                 Err(Refusal::ResponseLost) if request.kind.may_retry() => {
                     self.wait_for_slot(request).await?
@@ -359,6 +368,9 @@
             Ok(connection) => connection,
             Err(e) => {
                 lock(&self.state.backends).mark_unreachable(&replica.host, now());
+                if e.is_refused() {
+                    lock(&self.state.evidence).record_unreachable(&replica.host, now());
+                }
                 return Err(AttemptError { verdict: Verdict::NotRun, cause: e.to_string().into() });
             }
         };
@@ -380,10 +392,13 @@
             let elapsed = now().saturating_duration_since(request.received_at);
             self.metrics.dispatch_seconds.observe(elapsed.as_secs_f64());
         }
-        let response = connection
-            .send(outgoing)
-            .await
-            .map_err(|e| AttemptError { verdict: e.verdict(), cause: describe(&e).into() })?;
+        let response = connection.send(outgoing).await.map_err(|e| {
+            if e.is_closed_by_peer() {
+                let parts = &request.info.shared_parts;
+                lock(&self.state.evidence).record_broken(&replica.host, parts, false, now());
+            }
+            AttemptError { verdict: e.verdict(), cause: describe(&e).into() }
+        })?;
         match self.dialect.classify_response(
             response.status(),
             response.headers(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -14,6 +14,7 @@
     pub(crate) streams_resumed: Counter,
     pub(crate) foreign_responses: Counter,
     pub(crate) callers_left: Counter,
+    pub(crate) parts_in_quarantine: Gauge,
     pub(crate) view_replicas: Gauge,
     pub(crate) first_event_seconds: Histogram,
     pub(crate) answer_seconds: Histogram,
@@ -40,6 +41,8 @@
                 "callers_left",
                 "callers that left before the end of their answer",
             ),
+            parts_in_quarantine: metrics
+                .gauge("parts_in_quarantine", "prompt parts whose requests are rejected"),
             view_replicas: metrics.gauge("view_replicas", "backend servers in the routing view"),
             first_event_seconds: metrics.histogram(
                 "first_event_seconds",
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -26,6 +26,11 @@
         /// When the caller should retry.
         retry_after: Duration,
     },
+    /// A part of the prompt has crashed backend servers.
+    Quarantined {
+        /// When the caller should retry: at the end of the quarantine.
+        retry_after: Duration,
+    },
     /// This process is shutting down.
     Leaving,
     /// The backend servers tried have not run the request.
@@ -53,6 +58,7 @@
             Refusal::BodyTruncated => "body_cut",
             Refusal::NoServer { .. } => "no_server",
             Refusal::Full { .. } => "full",
+            Refusal::Quarantined { .. } => "quarantined",
             Refusal::Leaving => "leaving",
             Refusal::NotRun { .. } => "not_run",
             Refusal::ResponseLost => "lost",
@@ -65,6 +71,7 @@
         match self {
             Refusal::NoServer { retry_after }
             | Refusal::Full { retry_after }
+            | Refusal::Quarantined { retry_after }
             | Refusal::NotRun { retry_after } => Some(*retry_after),
             Refusal::NoManifest | Refusal::Leaving => Some(Duration::ZERO),
             _ => None,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -3,7 +3,8 @@
 use admission::{Backends, RetryBudget, RouteTable, Shutdown};
 use base::{clock::Clock, sync::lock};
 use fleet::{EntryStatus, Manifest, RoutingView};
-use model::ids::{DomainId, EntryId, ServiceId};
+use model::ids::{DomainId, EntryId, PromptPartId, ServiceId};
+use quarantine::{BlockedParts, EvidenceLog};
 use std::{
     collections::HashMap,
     fmt,
@@ -51,6 +52,8 @@
     view_received_at: Mutex<Option<Instant>>,
     has_complete_view: AtomicBool,
     shutdown: Mutex<Option<Shutdown>>,
+    pub(crate) evidence: Mutex<EvidenceLog>,
+    blocked_parts: Mutex<BlockedParts>,
     forwarded: AtomicU64,
 }
 
@@ -81,6 +84,8 @@
             view_received_at: Mutex::default(),
             has_complete_view: AtomicBool::new(false),
             shutdown: Mutex::default(),
+            evidence: Mutex::default(),
+            blocked_parts: Mutex::default(),
             forwarded: AtomicU64::new(0),
         }
     }
@@ -149,6 +154,16 @@
         lock(&self.backends).set_share(share);
     }
 
+    /// Replaces the prompt parts in quarantine, each with the time left.
+    pub(crate) fn set_blocked_parts(&self, parts: &[(PromptPartId, Duration)]) {
+        lock(&self.blocked_parts).set(parts, self.clock.now());
+    }
+
+    /// How long a request with these prompt parts is still rejected, if it is.
+    pub(crate) fn blocked_for(&self, parts: &[PromptPartId]) -> Option<Duration> {
+        lock(&self.blocked_parts).remaining(parts, self.clock.now())
+    }
+
     /// Milliseconds since the last view was received, 0 if there was none.
     pub(crate) fn view_age_ms(&self) -> u128 {
         let now = self.clock.now();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -8,6 +8,7 @@
     events::EventBuffer,
     refusal::Refusal,
 };
+use base::sync::lock;
 use bytes::Bytes;
 use futures_lite::stream;
 use http::{Body, Connection};
@@ -17,7 +18,10 @@
     body::{Frame, Incoming},
 };
 use log::info;
-use model::{ids::HostId, verdict::Verdict};
+use model::{
+    ids::{HostId, PromptPartId},
+    verdict::Verdict,
+};
 use net::with_timeout;
 use std::{
     io,
@@ -80,6 +84,8 @@
     host: HostId,
     reusable: bool,
     slot: SlotGuard,
+    /// Whether it has sent an event.
+    has_sent_event: bool,
 }
 
 /// The result of reading from a backend server.
@@ -122,7 +128,7 @@
         let BackendResponse { response, connection, address, host, slot } = backend_response;
         let (parts, body) = response.into_parts();
         let reusable = !closes_connection(&parts.headers);
-        (parts, Upstream { body, connection, address, host, reusable, slot })
+        (parts, Upstream { body, connection, address, host, reusable, slot, has_sent_event: false })
     }
 
     async fn next(&mut self, timeout: Duration) -> ReadResult {
@@ -172,6 +178,11 @@
                     let now = self.gateway.state.clock.now();
                     upstream.slot.record_progress();
                     if let Some(events) = self.events.push(&bytes) {
+                        if !upstream.has_sent_event {
+                            upstream.has_sent_event = true;
+                            let parts = &self.request.info.shared_parts;
+                            lock(&self.gateway.state.evidence).record_answered(parts, now);
+                        }
                         self.timing.record_event(now);
                         self.request.after_event = events.last_id.or(self.request.after_event);
                         return Some((Ok(Frame::data(events.bytes)), self));
@@ -185,6 +196,7 @@
                     }
                 }
                 ReadResult::Broken(cause) => {
+                    self.record_break();
                     self.record_failure(&cause);
                     self.upstream = None;
                     if !self.resume().await {
@@ -206,6 +218,17 @@
         }
     }
 
+    /// Records that the current backend server closed the connection.
+    fn record_break(&self) {
+        let Some(upstream) = &self.upstream else {
+            return;
+        };
+        let parts: &[PromptPartId] =
+            if upstream.has_sent_event { &[] } else { &self.request.info.shared_parts };
+        let state = &self.gateway.state;
+        lock(&state.evidence).record_broken(&upstream.host, parts, true, state.clock.now());
+    }
+
     /// Logs that the current backend server failed the stream, and excludes it from retries.
     fn record_failure(&mut self, cause: &str) {
         let Some(upstream) = &self.upstream else {
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -6,8 +6,8 @@
     },
     refusal::Refusal,
 };
-use base::limits::RESPONSE_MAX;
-use http::{Body, collect, full};
+use base::{limits::RESPONSE_MAX, sync::lock};
+use http::{Body, BodyError, collect, full};
 use hyper::Response;
 use log::info;
 use model::verdict::Verdict;
@@ -62,28 +62,39 @@
         request: &ProxyRequest,
         backend_response: BackendResponse,
     ) -> Result<Response<Body>, Refusal> {
-        let BackendResponse { response, connection, address, slot, .. } = backend_response;
+        let BackendResponse { response, connection, address, host, slot } = backend_response;
+        let parts = &request.info.shared_parts;
         let remaining = request.deadline.saturating_duration_since(self.state.clock.now());
-        let (mut parts, body) = response.into_parts();
+        let status = response.status();
+        let (mut head, body) = response.into_parts();
         let bytes = match with_timeout(remaining, collect(body, RESPONSE_MAX)).await {
             Ok(Ok(bytes)) => bytes,
-            Ok(Err(_)) => return Err(Refusal::ResponseLost),
+            Ok(Err(e)) => {
+                if matches!(e, BodyError::Broken(_)) {
+                    let now = self.state.clock.now();
+                    lock(&self.state.evidence).record_broken(&host, parts, true, now);
+                }
+                return Err(Refusal::ResponseLost);
+            }
             Err(_) => return Err(Refusal::TimedOut { verdict: Verdict::MayHaveRun }),
         };
         slot.record_progress();
-        if !closes_connection(&parts.headers) {
+        if status.is_success() {
+            lock(&self.state.evidence).record_answered(parts, self.state.clock.now());
+        }
+        if !closes_connection(&head.headers) {
             self.client.return_idle(address, connection);
         }
-        strip_hop_by_hop_headers(&mut parts.headers);
+        strip_hop_by_hop_headers(&mut head.headers);
         let took = self.state.clock.now().saturating_duration_since(request.received_at);
         self.metrics.answer_seconds.observe(took.as_secs_f64());
         info!(
             "event=answered id={} status={} tries={} took_ms={}",
             request.info.id,
-            parts.status.as_u16(),
+            status.as_u16(),
             request.attempts,
             took.as_millis()
         );
-        Ok(Response::from_parts(parts, full(bytes)))
+        Ok(Response::from_parts(head, full(bytes)))
     }
 }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -30,6 +30,16 @@
 }
 
 impl ClientError {
+    /// Whether the server's host rejected the connection because nothing listens there.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, ClientError::Connect(e) if e.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
+    /// Whether the connection ended before the response, so that the server may have ended too.
+    pub fn is_closed_by_peer(&self) -> bool {
+        matches!(self, ClientError::Broken(e) if !e.is_parse() && !e.is_canceled())
+    }
+
     /// Whether the request may have been executed.
     pub fn verdict(&self) -> Verdict {
         match self {
--- /dev/null
+++ b/crates/quarantine/src/detector.rs
@@ -0,0 +1,196 @@
+//! Finds the prompt parts that the requests of several crashes have in common.
+
+use crate::evidence::{Observation, ObservationKind};
+use model::ids::{HostId, PromptPartId};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::{Duration, Instant},
+};
+
+/// How long a crash counts.
+const WINDOW: Duration = Duration::from_secs(120);
+/// Failures of one backend server within this time belong to one crash.
+const CRASH_SPAN: Duration = Duration::from_secs(1);
+/// Requests that break off at one backend server within `BREAK_SPAN` for it to count as crashed.
+/// A server that runs on and fails single requests breaks off fewer.
+const MIN_BREAKS: usize = 3;
+/// See `MIN_BREAKS`.
+const BREAK_SPAN: Duration = Duration::from_millis(200);
+/// Crashes closer together than this count once for a part, so that the loss of many hosts at the
+/// same time says nothing about the parts that their requests have in common.
+const MIN_INTERVAL: Duration = Duration::from_millis(100);
+/// Points for a crash in which a request with the part was being answered, without any part of the
+/// answer having arrived.
+const POINTS_BEGUN: u32 = 2;
+/// Points for a crash in which a request with the part was waiting.
+const POINTS_WAITING: u32 = 1;
+/// Points at which a part is named.
+const MIN_POINTS: u32 = 3 * POINTS_BEGUN;
+/// Points at which several parts are named together, if all have the same points.
+const MIN_POINTS_TIED: u32 = 5 * POINTS_BEGUN;
+/// Maximum number of crashes kept.
+const MAX_CRASHES: usize = 128;
+/// Maximum number of suspects, and of times of broken requests, kept for one crash.
+const MAX_SUSPECTS: usize = 128;
+/// Maximum number of parts of which the last answer is kept.
+const MAX_ANSWERED: usize = 8192;
+
+#[derive(Debug)]
+struct Crash {
+    host: HostId,
+    at: Instant,
+    /// When requests broke off, in no order.
+    breaks: Vec<Instant>,
+    refused_connection: bool,
+    /// Parts of requests that broke off before any part of an answer, and have not been answered
+    /// since, with the points of this crash.
+    suspects: BTreeMap<PromptPartId, u32>,
+}
+
+impl Crash {
+    fn is_confirmed(&self) -> bool {
+        let is_burst = |begin: &Instant| {
+            let within = |at: &&Instant| **at >= *begin && **at <= *begin + BREAK_SPAN;
+            self.breaks.iter().filter(within).count() >= MIN_BREAKS
+        };
+        self.refused_connection || self.breaks.iter().any(is_burst)
+    }
+}
+
+/// Collects the observations of all entries.
+#[derive(Debug, Default)]
+pub struct CrashDetector {
+    crashes: VecDeque<Crash>,
+    /// When a request with each part was last answered.
+    answered: BTreeMap<PromptPartId, Instant>,
+    /// Whether a crash has been added or changed since the last search.
+    changed: bool,
+}
+
+impl CrashDetector {
+    /// Adds an observation.
+    pub fn record(&mut self, observation: Observation, now: Instant) {
+        let at = now.checked_sub(observation.age).unwrap_or(now);
+        self.expire(now);
+        match observation.kind {
+            ObservationKind::Broken { host, suspects, began } => {
+                self.record_broken(host, &suspects, began, at);
+            }
+            ObservationKind::Unreachable { host } => self.record_unreachable(&host, at),
+            ObservationKind::Answered { part } => self.record_answered(part, at),
+        }
+    }
+
+    /// Records that a backend server could not be reached.
+    pub fn record_unreachable(&mut self, host: &HostId, at: Instant) {
+        if let Some(crash) = self.crash_of(host, at) {
+            crash.refused_connection = true;
+            self.changed = true;
+        }
+    }
+
+    /// Returns the parts that must have caused the recent crashes, and forgets these crashes.
+    ///
+    /// A part with `is_known`, which has been in quarantine before, is named after one crash.
+    pub fn culprits(&mut self, is_known: impl Fn(PromptPartId) -> bool) -> Vec<PromptPartId> {
+        let mut culprits = Vec::new();
+        while std::mem::take(&mut self.changed) {
+            let points = self.points();
+            let mut found: Vec<PromptPartId> =
+                points.keys().copied().filter(|part| is_known(*part)).collect();
+            if found.is_empty() {
+                let most = points.values().copied().max().unwrap_or_default();
+                found.extend(points.iter().filter(|(_, own)| **own == most).map(|(part, _)| *part));
+                let needed = if found.len() > 1 { MIN_POINTS_TIED } else { MIN_POINTS };
+                if most < needed {
+                    break;
+                }
+            }
+            // These crashes say nothing more about their other suspects.
+            self.crashes.retain(|crash| !found.iter().any(|p| crash.suspects.contains_key(p)));
+            self.changed = true;
+            culprits.append(&mut found);
+        }
+        culprits
+    }
+
+    /// The points of each suspect, over confirmed crashes that are apart by `MIN_INTERVAL`.
+    fn points(&self) -> BTreeMap<PromptPartId, u32> {
+        let mut confirmed: Vec<&Crash> =
+            self.crashes.iter().filter(|crash| crash.is_confirmed()).collect();
+        confirmed.sort_by_key(|crash| crash.at);
+        let mut last_counted: BTreeMap<PromptPartId, Instant> = BTreeMap::new();
+        let mut points: BTreeMap<PromptPartId, u32> = BTreeMap::new();
+        for crash in confirmed {
+            for (part, own) in &crash.suspects {
+                let last = last_counted.get(part);
+                if last.is_none_or(|last| crash.at >= *last + MIN_INTERVAL) {
+                    last_counted.insert(*part, crash.at);
+                    *points.entry(*part).or_default() += own;
+                }
+            }
+        }
+        points
+    }
+
+    fn record_broken(&mut self, host: HostId, parts: &[PromptPartId], began: bool, at: Instant) {
+        let answered = &self.answered;
+        let is_suspect =
+            |part: &&PromptPartId| answered.get(*part).is_none_or(|answered| *answered < at);
+        let suspects: Vec<PromptPartId> = parts.iter().filter(is_suspect).copied().collect();
+        let crash = match self.crash_of(&host, at) {
+            Some(crash) => crash,
+            None => {
+                if self.crashes.len() >= MAX_CRASHES {
+                    self.crashes.pop_front();
+                }
+                self.crashes.push_back(Crash {
+                    host,
+                    at,
+                    breaks: Vec::new(),
+                    refused_connection: false,
+                    suspects: BTreeMap::new(),
+                });
+                self.crashes.back_mut().expect("a crash was just added")
+            }
+        };
+        if crash.breaks.len() < MAX_SUSPECTS {
+            crash.breaks.push(at);
+        }
+        let points = if began { POINTS_BEGUN } else { POINTS_WAITING };
+        for part in suspects {
+            if crash.suspects.len() < MAX_SUSPECTS || crash.suspects.contains_key(&part) {
+                let own = crash.suspects.entry(part).or_default();
+                *own = points.max(*own);
+            }
+        }
+        self.changed = true;
+    }
+
+    fn record_answered(&mut self, part: PromptPartId, at: Instant) {
+        for crash in self.crashes.iter_mut().filter(|crash| crash.at <= at) {
+            crash.suspects.remove(&part);
+        }
+        if self.answered.len() < MAX_ANSWERED || self.answered.contains_key(&part) {
+            let last = self.answered.entry(part).or_insert(at);
+            *last = (*last).max(at);
+        }
+    }
+
+    /// The crash of this host that a failure at `at` belongs to.
+    fn crash_of(&mut self, host: &HostId, at: Instant) -> Option<&mut Crash> {
+        self.crashes.iter_mut().rev().find(|crash| {
+            crash.host == *host && at + CRASH_SPAN >= crash.at && at <= crash.at + CRASH_SPAN
+        })
+    }
+
+    fn expire(&mut self, now: Instant) {
+        let is_old = |at: Instant| now.saturating_duration_since(at) > WINDOW;
+        while self.crashes.front().is_some_and(|crash| is_old(crash.at)) {
+            self.crashes.pop_front();
+        }
+        if self.answered.len() >= MAX_ANSWERED {
+            self.answered.retain(|_, at| !is_old(*at));
+        }
+    }
+}
--- /dev/null
+++ b/crates/quarantine/src/evidence.rs
@@ -0,0 +1,141 @@
+//! What an entry has observed of its requests.
+
+use model::ids::{HostId, PromptPartId};
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::{Duration, Instant},
+};
+
+/// How long observations are kept, to be sent again to a new leader.
+const RETENTION: Duration = Duration::from_secs(120);
+/// Maximum number of failures kept.
+const MAX_FAILURES: usize = 512;
+/// Maximum number of parts of which the last answer is kept.
+const MAX_ANSWERED: usize = 512;
+
+/// An observation of an entry.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Observation {
+    /// The time since the observation.
+    pub age: Duration,
+    /// What was observed.
+    pub kind: ObservationKind,
+}
+
+/// What an entry observed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ObservationKind {
+    /// A backend server closed the connection of a request that it had not answered in full.
+    Broken {
+        /// The backend server.
+        host: HostId,
+        /// The shared parts of the request's prompt, if no part of an answer had arrived.
+        suspects: Box<[PromptPartId]>,
+        /// Whether the server had begun to answer.
+        began: bool,
+    },
+    /// A backend server refused a connection.
+    Unreachable {
+        /// The backend server.
+        host: HostId,
+    },
+    /// A backend server answered a request whose prompt contains this part, at least in part.
+    Answered {
+        /// The part.
+        part: PromptPartId,
+    },
+}
+
+/// The recent observations of an entry, of which a session sends each one once.
+#[derive(Debug, Default)]
+pub struct EvidenceLog {
+    failures: VecDeque<(Instant, ObservationKind)>,
+    /// When each part was last answered.
+    answered: BTreeMap<PromptPartId, Instant>,
+    /// Failures that are not sent yet, counted from the end.
+    unsent_failures: usize,
+    /// Answers before this time have been sent. None have been if it is `None`.
+    answers_sent_until: Option<Instant>,
+}
+
+impl EvidenceLog {
+    /// Records that a backend server closed the connection of a request. `suspects` are the
+    /// shared parts of its prompt, or empty if a part of an answer had arrived; `began` says
+    /// whether the server had begun to answer.
+    pub fn record_broken(
+        &mut self,
+        host: &HostId,
+        suspects: &[PromptPartId],
+        began: bool,
+        now: Instant,
+    ) {
+        let suspects = suspects.into();
+        self.push(ObservationKind::Broken { host: host.clone(), suspects, began }, now);
+    }
+
+    /// Records that a backend server refused a connection.
+    pub fn record_unreachable(&mut self, host: &HostId, now: Instant) {
+        self.push(ObservationKind::Unreachable { host: host.clone() }, now);
+    }
+
+    /// Records that a request with these parts was answered, at least in part.
+    pub fn record_answered(&mut self, parts: &[PromptPartId], now: Instant) {
+        for part in parts {
+            if self.answered.len() >= MAX_ANSWERED && !self.answered.contains_key(part) {
+                self.remove_oldest_answer();
+            }
+            self.answered.insert(*part, now);
+        }
+    }
+
+    /// Marks all observations as unsent, since a new session begins.
+    pub fn restart(&mut self) {
+        self.unsent_failures = self.failures.len();
+        self.answers_sent_until = None;
+    }
+
+    /// Returns the observations that have not been sent in this session.
+    pub fn take_unsent(&mut self, now: Instant) -> Vec<Observation> {
+        self.expire(now);
+        let age = |at: Instant| now.saturating_duration_since(at);
+        let first = self.failures.len() - self.unsent_failures;
+        let failures = self.failures.iter().skip(first);
+        let failures = failures.map(|(at, kind)| Observation { age: age(*at), kind: kind.clone() });
+        let sent_until = self.answers_sent_until;
+        let answered =
+            self.answered.iter().filter(|(_, at)| sent_until.is_none_or(|sent| **at >= sent));
+        let answered = answered.map(|(part, at)| {
+            let kind = ObservationKind::Answered { part: *part };
+            Observation { age: age(*at), kind }
+        });
+        let unsent: Vec<Observation> = failures.chain(answered).collect();
+        self.unsent_failures = 0;
+        self.answers_sent_until = Some(now);
+        unsent
+    }
+
+    fn push(&mut self, kind: ObservationKind, now: Instant) {
+        if self.failures.len() >= MAX_FAILURES {
+            self.failures.pop_front();
+        }
+        self.failures.push_back((now, kind));
+        self.unsent_failures = (self.unsent_failures + 1).min(self.failures.len());
+    }
+
+    fn remove_oldest_answer(&mut self) {
+        let oldest = self.answered.iter().min_by_key(|(_, at)| **at).map(|(part, _)| *part);
+        if let Some(part) = oldest {
+            self.answered.remove(&part);
+        }
+    }
+
+    fn expire(&mut self, now: Instant) {
+        let is_old = |at: Instant| now.saturating_duration_since(at) > RETENTION;
+        while self.failures.front().is_some_and(|(at, _)| is_old(*at)) {
+            self.failures.pop_front();
+        }
+        self.unsent_failures = self.unsent_failures.min(self.failures.len());
+        self.answered.retain(|_, at| !is_old(*at));
+    }
+}
