Bound responses that have no end

A backend server in trouble may send bytes without end, in a head, a body or an event. An entry buffered an event without any limit and searched all of it again with each chunk; a body over the limit of 16 MiB was read on for 64 MiB more, to be polite to its sender, and any number of bodies could be buffered at the same time.

Responses are now read up to their limit and the connection is closed: 64 KiB for a head, 16 MiB for a unary body and 64 MiB for all that an entry buffers at once (ByteBudget), 256 KiB for an event, of which only new bytes are searched. The caller gets 502, or a stream that is resumed or visibly broken off. The clients of control and of the tools use the same reader; requests are still read on, so that the caller sees the refusal.

--- a/bin/entry/src/dispatch.rs
+++ b/bin/entry/src/dispatch.rs
@@ -7,7 +7,7 @@
 };
 use base::limits::RESPONSE_MAX;
 use bytes::Bytes;
-use http::{Body, Connection, collect, full};
+use http::{Body, Connection, collect_response_within, full};
 use hyper::{
     Request, Response, StatusCode,
     body::Incoming,
@@ -194,7 +194,8 @@
     let first_byte = state.clock.now().saturating_duration_since(sent_at);
     let (head, body) = response.into_parts();
     let left = request.deadline.saturating_duration_since(state.clock.now());
-    let bytes = match with_timeout(left, collect(body, RESPONSE_MAX)).await {
+    let collected = collect_response_within(body, RESPONSE_MAX, &state.response_budget);
+    let bytes = match with_timeout(left, collected).await {
         Ok(Ok(bytes)) => bytes,
         Ok(Err(fault)) => {
             state.metrics.broken_answers.inc();
--- a/bin/fake/src/announcer.rs
+++ b/bin/fake/src/announcer.rs
@@ -5,7 +5,7 @@
 use async_io::Timer;
 use base::limits::ANNOUNCE_INTERVAL;
 use futures_lite::FutureExt;
-use http::{Client, collect, full};
+use http::{Client, collect_response, full};
 use hyper::{
     Request, StatusCode,
     header::{CONTENT_TYPE, HOST},
@@ -70,7 +70,7 @@
         return false;
     };
     let accepted = response.status() == StatusCode::OK;
-    if collect(response.into_body(), MAX_RESPONSE_BYTES).await.is_ok() {
+    if collect_response(response.into_body(), MAX_RESPONSE_BYTES).await.is_ok() {
         client.return_idle(entry, connection);
     }
     accepted
--- a/bin/kingcup/src/config.rs
+++ b/bin/kingcup/src/config.rs
@@ -6,7 +6,7 @@
     secret::Secret,
     settings::{Flag, parse_addresses, read_secret},
 };
-use http::{Client, collect, full};
+use http::{Client, collect_response, full};
 use hyper::{
     Method, Request, StatusCode,
     header::{AUTHORIZATION, CONTENT_TYPE, HOST},
@@ -128,7 +128,7 @@
         let mut connection = client.connection(to).await.map_err(|e| unreachable(e.to_string()))?;
         let response = connection.send(request).await.map_err(|e| unreachable(e.to_string()))?;
         let status = response.status();
-        let body = collect(response.into_body(), MAX_RESPONSE_BYTES).await;
+        let body = collect_response(response.into_body(), MAX_RESPONSE_BYTES).await;
         let body = body.map_err(|e| unreachable(e.to_string()))?.to_vec();
         Ok(RawResponse { status, body })
     }
--- a/bin/load/src/caller/directory.rs
+++ b/bin/load/src/caller/directory.rs
@@ -1,7 +1,7 @@
 //! A caller's copy of the directory, cached for as long as the directory's response allows.
 
 use base::sync::lock;
-use http::{Client, collect, empty};
+use http::{Client, collect_response, empty};
 use hyper::{Request, header::HOST};
 use model::request::DIRECTORY_PATH;
 use net::with_timeout;
@@ -92,7 +92,7 @@
         Request::get(DIRECTORY_PATH).header(HOST, entry.to_string()).body(empty()).ok()?;
     let exchange = async {
         let response = client.send(entry, request).await.ok()?;
-        let body = collect(response.into_body(), MAX_RESPONSE_BYTES).await.ok()?;
+        let body = collect_response(response.into_body(), MAX_RESPONSE_BYTES).await.ok()?;
         serde_json::from_slice::<DirectoryResponse>(&body).ok()
     };
     let response = with_timeout(REQUEST_TIMEOUT, exchange).await.ok().flatten()?;
--- a/bin/load/src/ledger.rs
+++ b/bin/load/src/ledger.rs
@@ -1,6 +1,6 @@
 //! The ledgers of the fake backend servers, read at the end of a run: what each has executed.
 
-use http::{Client, collect, empty};
+use http::{Client, collect_response, empty};
 use hyper::{Request, header::HOST};
 use net::{Pool, with_timeout};
 use serde::{Deserialize, Serialize};
@@ -57,7 +57,7 @@
     let request =
         Request::get("/fake/ledger").header(HOST, address.to_string()).body(empty()).ok()?;
     let response = client.send(address, request).await.ok()?;
-    let body = collect(response.into_body(), MAX_LEDGER_BYTES).await.ok()?;
+    let body = collect_response(response.into_body(), MAX_LEDGER_BYTES).await.ok()?;
     serde_json::from_slice(&body).ok()
 }
 
--- a/bin/load/src/status.rs
+++ b/bin/load/src/status.rs
@@ -3,7 +3,7 @@
 use crate::{error::LoadError, record::Recorder};
 use async_io::Timer;
 use base::secret::Secret;
-use http::{Client, collect, empty};
+use http::{Client, collect_response, empty};
 use hyper::{
     Request, StatusCode,
     header::{AUTHORIZATION, HOST},
@@ -77,7 +77,7 @@
         if response.status() != StatusCode::OK {
             return None;
         }
-        let body = collect(response.into_body(), MAX_STATUS_BYTES).await.ok()?;
+        let body = collect_response(response.into_body(), MAX_STATUS_BYTES).await.ok()?;
         serde_json::from_slice(&body).ok()
     }
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -8,12 +8,13 @@
 };
 use admission::{Choice, KeyCheck, Refused, Requirements, RouteTable, SlotId};
 use async_io::Timer;
-use base::sync::lock;
+use base::{limits::RESPONSES_MAX, sync::lock};
 use bytes::Bytes;
 use fleet::{Route, RouteKind};
 use futures_lite::FutureExt;
 use http::{
-    Body, BodyError, Client, ClientError, Connection, Handler, HandlerFuture, Limits, collect, full,
+    Body, BodyError, ByteBudget, Client, ClientError, Connection, Handler, HandlerFuture, Limits,
+    collect, collect_response, full,
 };
 use hyper::{
     HeaderMap, Method, Request, Response, Uri,
@@ -68,6 +69,7 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) client: Arc<Client>,
     pub(crate) metrics: GatewayMetrics,
+    pub(crate) response_budget: ByteBudget,
 }
 
 /// A request that is being proxied.
@@ -138,7 +140,8 @@
         client: Arc<Client>,
         metrics: GatewayMetrics,
     ) -> Gateway {
-        Gateway { state, dialect, client, metrics }
+        let response_budget = ByteBudget::new(RESPONSES_MAX);
+        Gateway { state, dialect, client, metrics, response_budget }
     }
 
     async fn answer(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
@@ -436,8 +439,11 @@
         to: SocketAddr,
     ) {
         let reusable = !closes_connection(response.headers());
-        let read =
-            with_timeout(DISCARD_TIMEOUT, collect(response.into_body(), DISCARD_MAX_BYTES)).await;
+        let read = with_timeout(
+            DISCARD_TIMEOUT,
+            collect_response(response.into_body(), DISCARD_MAX_BYTES),
+        )
+        .await;
         if reusable && matches!(read, Ok(Ok(_))) {
             self.client.return_idle(to, connection);
         }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -1,8 +1,13 @@
 //! Splits the bytes of an event stream into complete events.
 
 use bytes::{Bytes, BytesMut};
+use std::fmt;
 
 const ID_FIELD: &[u8] = b"id:";
+/// Maximum size, in bytes, of an event.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+/// The length of the longest end of an event.
+const MAX_END_BYTES: usize = 4;
 
 /// Buffers the bytes of an event stream and returns complete events.
 #[derive(Debug, Default)]
@@ -19,14 +24,27 @@
     pub(crate) last_id: Option<u64>,
 }
 
+/// The error for an event that exceeds `MAX_EVENT_BYTES`.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) struct EventTooLong;
+
+impl fmt::Display for EventTooLong {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "an event is longer than {MAX_EVENT_BYTES} bytes")
+    }
+}
+
 impl EventBuffer {
     /// Appends bytes and returns the events that are complete, if any.
-    pub(crate) fn push(&mut self, chunk: &[u8]) -> Option<Events> {
+    pub(crate) fn push(&mut self, chunk: &[u8]) -> Result<Option<Events>, EventTooLong> {
+        let searched = self.buf.len().saturating_sub(MAX_END_BYTES - 1);
         self.buf.extend_from_slice(chunk);
-        let end = last_event_end(&self.buf)?;
-        let bytes = self.buf.split_to(end).freeze();
+        let Some(end) = last_event_end(&self.buf[searched..]) else {
+            return if self.buf.len() > MAX_EVENT_BYTES { Err(EventTooLong) } else { Ok(None) };
+        };
+        let bytes = self.buf.split_to(searched + end).freeze();
         let last_id = last_event_id(&bytes);
-        Some(Events { bytes, last_id })
+        Ok(Some(Events { bytes, last_id }))
     }
 
     /// Removes and returns the bytes after the last complete event.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -177,7 +177,19 @@
                 ReadResult::Bytes(bytes) => {
                     let now = self.gateway.state.clock.now();
                     upstream.slot.record_progress();
-                    if let Some(events) = self.events.push(&bytes) {
+                    let events = match self.events.push(&bytes) {
+                        Ok(events) => events,
+                        Err(e) => {
+                            let cause: Box<str> = e.to_string().into();
+                            self.record_failure(&cause);
+                            self.upstream = None;
+                            if !self.resume().await {
+                                return Some(self.fail(&cause));
+                            }
+                            continue;
+                        }
+                    };
+                    if let Some(events) = events {
                         if !upstream.has_sent_event {
                             upstream.has_sent_event = true;
                             let parts = &self.request.info.shared_parts;
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -7,7 +7,7 @@
     refusal::Refusal,
 };
 use base::{limits::RESPONSE_MAX, sync::lock};
-use http::{Body, BodyError, collect, full};
+use http::{Body, BodyError, collect_response_within, full};
 use hyper::Response;
 use log::info;
 use model::verdict::Verdict;
@@ -67,7 +67,8 @@
         let remaining = request.deadline.saturating_duration_since(self.state.clock.now());
         let status = response.status();
         let (mut head, body) = response.into_parts();
-        let bytes = match with_timeout(remaining, collect(body, RESPONSE_MAX)).await {
+        let collected = collect_response_within(body, RESPONSE_MAX, &self.response_budget);
+        let bytes = match with_timeout(remaining, collected).await {
             Ok(Ok(bytes)) => bytes,
             Ok(Err(e)) => {
                 if matches!(e, BodyError::Broken(_)) {
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -9,7 +9,10 @@
 };
 use model::status::ErrorBody;
 use serde::Serialize;
-use std::{fmt, io};
+use std::{
+    fmt, io,
+    sync::atomic::{AtomicUsize, Ordering},
+};
 
 /// Maximum number of bytes to discard from an oversized body before responding.
 const DISCARD_MAX: usize = 64 << 20;
@@ -48,26 +51,98 @@
     Empty::new().map_err(|never| match never {}).boxed_unsync()
 }
 
-/// Reads a whole body of at most `limit` bytes.
+/// A limit on the bytes of all response bodies that are being collected at the same time.
+#[derive(Debug)]
+pub struct ByteBudget {
+    limit: usize,
+    taken: AtomicUsize,
+}
+
+impl ByteBudget {
+    /// A budget of `limit` bytes.
+    pub fn new(limit: usize) -> ByteBudget {
+        ByteBudget { limit, taken: AtomicUsize::new(0) }
+    }
+}
+
+/// The bytes that one body has taken from a budget, returned on drop.
+struct Reservation<'a> {
+    budget: &'a ByteBudget,
+    bytes: usize,
+}
+
+impl Reservation<'_> {
+    fn grow(&mut self, bytes: usize) -> Result<(), BodyError> {
+        self.bytes += bytes;
+        let taken = self.budget.taken.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        let limit = self.budget.limit;
+        if taken > limit { Err(BodyError::TooLong { limit }) } else { Ok(()) }
+    }
+}
+
+impl Drop for Reservation<'_> {
+    fn drop(&mut self) {
+        self.budget.taken.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+/// Reads the whole body of a request, of at most `limit` bytes.
 ///
 /// # Errors
 ///
-/// Fails if the body is longer or truncated.
+/// Fails if the body is longer or truncated. The rest of a body that is too long is read and
+/// discarded, up to a limit.
 pub async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
-    if body.size_hint().lower() > limit as u64 {
+    let budget = ByteBudget::new(limit);
+    let collected = collect_up_to(&mut body, limit, &budget).await;
+    if matches!(collected, Err(BodyError::TooLong { .. })) {
         discard(body).await;
+    }
+    collected
+}
+
+/// Reads the whole body of a response, of at most `limit` bytes.
+///
+/// # Errors
+///
+/// Fails if the body is longer or truncated. The rest of a body that is too long is not read, as
+/// it may have no end: the caller must close the connection.
+pub async fn collect_response(mut body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
+    collect_up_to(&mut body, limit, &ByteBudget::new(limit)).await
+}
+
+/// Like [`collect_response`], with a limit on all bodies that share the budget.
+///
+/// # Errors
+///
+/// Fails if the body is longer than `limit` or truncated, or if the budget is used up.
+pub async fn collect_response_within(
+    mut body: Incoming,
+    limit: usize,
+    budget: &ByteBudget,
+) -> Result<Bytes, BodyError> {
+    collect_up_to(&mut body, limit, budget).await
+}
+
+async fn collect_up_to(
+    body: &mut Incoming,
+    limit: usize,
+    budget: &ByteBudget,
+) -> Result<Bytes, BodyError> {
+    if body.size_hint().lower() > limit as u64 {
         return Err(BodyError::TooLong { limit });
     }
     let mut bytes = BytesMut::new();
+    let mut reservation = Reservation { budget, bytes: 0 };
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(BodyError::Broken)?;
         let Ok(chunk) = frame.into_data() else {
             continue;
         };
         if bytes.len() + chunk.remaining() > limit {
-            discard(body).await;
             return Err(BodyError::TooLong { limit });
         }
+        reservation.grow(chunk.remaining())?;
         bytes.extend_from_slice(&chunk);
     }
     Ok(bytes.freeze())
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -17,6 +17,8 @@
     sync::Mutex,
 };
 
+/// Maximum size, in bytes, of the head of a response.
+const RESPONSE_HEAD_MAX: usize = 64 * 1024;
 /// Maximum number of idle connections kept for each address.
 const IDLE_MAX: usize = 64;
 
@@ -128,7 +130,10 @@
     /// Fails if the connection can't be established.
     pub async fn new_connection(&self, to: SocketAddr) -> Result<Connection, ClientError> {
         let stream = connect(self.from, to, CONNECT_TIMEOUT).await.map_err(ClientError::Connect)?;
-        let (sender, connection) = http1::handshake(FuturesIo::new(stream)).await?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(RESPONSE_HEAD_MAX)
+            .handshake(FuturesIo::new(stream))
+            .await?;
         self.pool
             .spawn(async move {
                 // The sender reports connection errors to its user.
--- a/crates/testbed/src/process/request.rs
+++ b/crates/testbed/src/process/request.rs
@@ -1,6 +1,6 @@
 //! HTTP requests sent by tests.
 
-use http::{Client, collect, full};
+use http::{Client, collect_response, full};
 use hyper::{Method, Request, header::HOST};
 use net::{Pool, start_pool, with_timeout};
 use serde_json::Value;
@@ -116,7 +116,7 @@
         let mut connection = client.connection(self.to).await.ok()?;
         let response = connection.send(request).await.ok()?;
         let (head, body) = response.into_parts();
-        let body = collect(body, MAX_RESPONSE_BYTES).await.ok()?;
+        let body = collect_response(body, MAX_RESPONSE_BYTES).await.ok()?;
         let text = |value: &hyper::header::HeaderValue| value.to_str().unwrap_or("").to_owned();
         Some(HttpResponse {
             status: head.status.as_u16(),
