Treat a stream that ends with its connection inside an event as broken off

A backend server may answer a stream with neither a length nor chunks, so that only the end of the connection ends it. If such a stream broke off inside an event, or before the first one, callers got a complete-looking answer with half an event or none: the entry passed the rest on and ended its own chunks.

The end of such a body now counts as a break if it comes inside an event, or before the first event of a stream that was not resumed; the stream is then resumed at another server or visibly broken off. A body with a length or chunks is passed on whole as before.

path_unframed_stream_cut_inside_an_event failed before.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -47,6 +47,11 @@
         Ok(Some(Events { bytes, last_id }))
     }
 
+    /// Whether there are bytes after the last complete event.
+    pub(crate) fn is_partial(&self) -> bool {
+        !self.buf.is_empty()
+    }
+
     /// Removes and returns the bytes after the last complete event.
     pub(crate) fn rest(&mut self) -> Bytes {
         self.buf.split().freeze()
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -16,6 +16,7 @@
 use hyper::{
     Response,
     body::{Frame, Incoming},
+    header,
 };
 use log::info;
 use model::{
@@ -84,6 +85,11 @@
     host: HostId,
     reusable: bool,
     slot: SlotGuard,
+    /// Whether the body has neither a length nor chunks, so that it ends with the connection. It
+    /// may then have been broken off.
+    ends_with_connection: bool,
+    /// Whether it goes on after an event that the caller has.
+    is_resumed: bool,
     /// Whether it has sent an event.
     has_sent_event: bool,
 }
@@ -106,7 +112,7 @@
         if !backend_response.response.status().is_success() {
             return self.buffer_response(&request, backend_response).await;
         }
-        let (mut parts, upstream) = Upstream::new(backend_response);
+        let (mut parts, upstream) = Upstream::new(backend_response, request.after_event);
         strip_hop_by_hop_headers(&mut parts.headers);
         let relay = StreamRelay {
             gateway: self,
@@ -124,11 +130,35 @@
 }
 
 impl Upstream {
-    fn new(backend_response: BackendResponse) -> (hyper::http::response::Parts, Upstream) {
+    fn new(
+        backend_response: BackendResponse,
+        after_event: Option<u64>,
+    ) -> (hyper::http::response::Parts, Upstream) {
         let BackendResponse { response, connection, address, host, slot } = backend_response;
         let (parts, body) = response.into_parts();
         let reusable = !closes_connection(&parts.headers);
-        (parts, Upstream { body, connection, address, host, reusable, slot, has_sent_event: false })
+        let ends_with_connection = !parts.headers.contains_key(header::CONTENT_LENGTH)
+            && !parts.headers.contains_key(header::TRANSFER_ENCODING);
+        let upstream = Upstream {
+            body,
+            connection,
+            address,
+            host,
+            reusable,
+            slot,
+            ends_with_connection,
+            is_resumed: after_event.is_some(),
+            has_sent_event: false,
+        };
+        (parts, upstream)
+    }
+
+    /// Whether the end of the body may be that of a broken connection: only the connection marks
+    /// the end, and it comes inside an event or before the first one. A resumed stream may have
+    /// no event left.
+    fn may_be_cut_off(&self, events: &EventBuffer) -> bool {
+        let is_empty = !self.has_sent_event && !self.is_resumed;
+        self.ends_with_connection && (events.is_partial() || is_empty)
     }
 
     async fn next(&mut self, timeout: Duration) -> ReadResult {
@@ -173,17 +203,19 @@
             } else {
                 remaining
             };
-            match upstream.next(timeout).await {
+            let mut read = upstream.next(timeout).await;
+            if matches!(read, ReadResult::End) && upstream.may_be_cut_off(&self.events) {
+                read = ReadResult::Broken("the connection ended inside an event".into());
+            }
+            match read {
                 ReadResult::Bytes(bytes) => {
                     let now = self.gateway.state.clock.now();
                     upstream.slot.record_progress();
                     let events = match self.events.push(&bytes) {
                         Ok(events) => events,
                         Err(e) => {
-                            let cause: Box<str> = e.to_string().into();
-                            self.record_failure(&cause);
-                            self.upstream = None;
-                            if !self.resume().await {
+                            let cause = e.to_string();
+                            if !self.replace_upstream(&cause).await {
                                 return Some(self.fail(&cause));
                             }
                             continue;
@@ -209,9 +241,7 @@
                 }
                 ReadResult::Broken(cause) => {
                     self.record_break();
-                    self.record_failure(&cause);
-                    self.upstream = None;
-                    if !self.resume().await {
+                    if !self.replace_upstream(&cause).await {
                         return Some(self.fail(&cause));
                     }
                 }
@@ -256,6 +286,14 @@
         request.attempts_left = request.attempts_left.saturating_sub(1);
     }
 
+    /// Gives up the current backend server and resumes the stream at another one. Returns whether
+    /// that succeeded.
+    async fn replace_upstream(&mut self, cause: &str) -> bool {
+        self.record_failure(cause);
+        self.upstream = None;
+        self.resume().await
+    }
+
     /// Resumes the stream at another backend server after the last event delivered. Returns
     /// whether that succeeded.
     async fn resume(&mut self) -> bool {
@@ -267,7 +305,7 @@
             Ok(backend_response) if backend_response.response.status().is_success() => {
                 self.gateway.metrics.streams_resumed.inc();
                 info!("event=stream_resumed id={} host={}", request.info.id, backend_response.host);
-                self.upstream = Some(Upstream::new(backend_response).1);
+                self.upstream = Some(Upstream::new(backend_response, request.after_event).1);
                 // The new backend server sends an event that was received in part again in full.
                 self.events.clear();
                 true
