Count groups in the test of a failure domain that returns

domain_out_and_back checked that serving_by_domain has nothing in the domain that is back, to show that groups stay where they are. The test now counts the groups of the domain, serving or not, both at once and after it has waited for the replica.

--- a/bin/kingcup/tests/operate.rs
+++ b/bin/kingcup/tests/operate.rs
@@ -59,8 +59,14 @@
     cluster.wait_status("a is in", |status| {
         status["domains_out"].as_array().is_some_and(Vec::is_empty)
     });
-    // Groups that already serve elsewhere are not moved back.
-    expect_that!(serving_in_a(&cluster.status()), eq(0));
+    // Groups that already serve elsewhere are not moved back. The replica of the ledger returns.
+    let groups_in_a = |status: &Value| {
+        let groups = status["groups"].as_array().expect("the status lists groups");
+        groups.iter().filter(|group| group["domain"] == "a").count()
+    };
+    expect_that!(groups_in_a(&cluster.status()), eq(0));
+    cluster.wait_status("the ledger is back in a", |status| serving_in_a(status) == 1);
+    expect_that!(groups_in_a(&cluster.status()), eq(0));
 }
 
 #[googletest::test]
