Convict a prompt part only after answers have been reported

A crash now counts 300 ms after it, when all entries have reported. A part that was answered before needs ten crashes, and comes after those that never were. Five crashes in more than one burst are enough.

--- a/crates/coordinator/src/leader/mod.rs
+++ b/crates/coordinator/src/leader/mod.rs
@@ -219,7 +219,7 @@
             self.schedule_next_plan(now);
         }
         self.record_host_uses(now);
-        self.end_quarantines(now);
+        self.run_quarantine(now);
         let Some(leader) = &mut self.leader_state else {
             return;
         };
--- a/crates/coordinator/src/leader/quarantine.rs
+++ b/crates/coordinator/src/leader/quarantine.rs
@@ -15,7 +15,7 @@
 }
 
 impl Driver {
-    /// Adds the observations of an entry, and puts the parts that they convict in quarantine.
+    /// Adds the observations of an entry.
     pub(super) fn handle_evidence(&mut self, observations: Vec<Observation>, now: Instant) {
         let Some(leader) = &mut self.leader_state else {
             return;
@@ -24,21 +24,21 @@
         for observation in observations {
             detector.record(observation, now);
         }
-        let records = &self.ledger.quarantine;
-        for part in detector.culprits(|part| records.is_known(part)) {
-            if !self.ledger.quarantine.is_in_quarantine(part) {
-                warn!("event=part_convicted part={part:x}");
-                self.propose(&Command::Quarantine(QuarantineChange::Begin(part)), None);
-            }
-        }
     }
 
-    /// Ends quarantines that are due.
-    pub(super) fn end_quarantines(&mut self, now: Instant) {
+    /// Puts parts that have crashed backend servers in quarantine, and ends quarantines.
+    pub(super) fn run_quarantine(&mut self, now: Instant) {
         let Some(leader) = &mut self.leader_state else {
             return;
         };
-        for change in leader.quarantine.timers.due(&self.ledger.quarantine, now) {
+        let records = &self.ledger.quarantine;
+        let culprits = leader.quarantine.detector.culprits(|part| records.is_known(part), now);
+        let mut changes = leader.quarantine.timers.due(records, now);
+        for part in culprits.into_iter().filter(|part| !records.is_in_quarantine(*part)) {
+            warn!("event=part_convicted part={part:x}");
+            changes.push(QuarantineChange::Begin(part));
+        }
+        for change in changes {
             self.propose(&Command::Quarantine(change), None);
         }
     }
--- a/crates/quarantine/src/detector.rs
+++ b/crates/quarantine/src/detector.rs
@@ -16,18 +16,25 @@
 const MIN_BREAKS: usize = 3;
 /// See `MIN_BREAKS`.
 const BREAK_SPAN: Duration = Duration::from_millis(200);
-/// Crashes closer together than this count once for a part, so that the loss of many hosts at the
-/// same time says nothing about the parts that their requests have in common.
+/// Crashes closer together than this are one burst, which counts once for a part, so that the loss
+/// of many hosts at the same time says nothing about the parts that their requests have in common.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
 /// Points for a crash in which a request with the part was being answered, without any part of the
 /// answer having arrived.
 const POINTS_BEGUN: u32 = 2;
 /// Points for a crash in which a request with the part was waiting.
 const POINTS_WAITING: u32 = 1;
-/// Points at which a part is named.
+/// Points at which a part is named that has never been answered.
 const MIN_POINTS: u32 = 3 * POINTS_BEGUN;
-/// Points at which several parts are named together, if all have the same points.
+/// Points of all crashes, in more than one burst, at which such a part is named.
+const MIN_POINTS_CLOSE: u32 = 5 * POINTS_BEGUN;
+/// Points at which several such parts are named together, if all have the same points.
 const MIN_POINTS_TIED: u32 = 5 * POINTS_BEGUN;
+/// Points at which a part is named that was answered before the first of these crashes.
+const MIN_POINTS_ANSWERED: u32 = 10 * POINTS_BEGUN;
+/// Time after a crash until it counts: by then all entries have reported the answers that clear
+/// its suspects.
+const SETTLE_TIME: Duration = Duration::from_millis(300);
 /// Maximum number of crashes kept.
 const MAX_CRASHES: usize = 128;
 /// Maximum number of suspects, and of times of broken requests, kept for one crash.
@@ -48,6 +55,10 @@
 }
 
 impl Crash {
+    fn has_settled(&self, now: Instant) -> bool {
+        now >= self.at + SETTLE_TIME
+    }
+
     fn is_confirmed(&self) -> bool {
         let is_burst = |begin: &Instant| {
             let within = |at: &&Instant| **at >= *begin && **at <= *begin + BREAK_SPAN;
@@ -57,6 +68,16 @@
     }
 }
 
+/// How strongly the crashes suggest that a part caused them.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Score {
+    /// Points of the first crash of each burst.
+    apart: u32,
+    /// Points of all crashes.
+    all: u32,
+    bursts: u32,
+}
+
 /// Collects the observations of all entries.
 #[derive(Debug, Default)]
 pub struct CrashDetector {
@@ -92,45 +113,73 @@
     /// Returns the parts that must have caused the recent crashes, and forgets these crashes.
     ///
     /// A part with `is_known`, which has been in quarantine before, is named after one crash.
-    pub fn culprits(&mut self, is_known: impl Fn(PromptPartId) -> bool) -> Vec<PromptPartId> {
+    pub fn culprits(
+        &mut self,
+        is_known: impl Fn(PromptPartId) -> bool,
+        now: Instant,
+    ) -> Vec<PromptPartId> {
         let mut culprits = Vec::new();
-        while std::mem::take(&mut self.changed) {
-            let points = self.points();
+        if !self.changed {
+            return culprits;
+        }
+        loop {
+            let scores = self.scores(now);
             let mut found: Vec<PromptPartId> =
-                points.keys().copied().filter(|part| is_known(*part)).collect();
+                scores.keys().copied().filter(|part| is_known(*part)).collect();
             if found.is_empty() {
-                let most = points.values().copied().max().unwrap_or_default();
-                found.extend(points.iter().filter(|(_, own)| **own == most).map(|(part, _)| *part));
-                let needed = if found.len() > 1 { MIN_POINTS_TIED } else { MIN_POINTS };
-                if most < needed {
-                    break;
-                }
+                found = self.most_suspect(&scores);
+            }
+            if found.is_empty() {
+                break;
             }
             // These crashes say nothing more about their other suspects.
             self.crashes.retain(|crash| !found.iter().any(|p| crash.suspects.contains_key(p)));
-            self.changed = true;
             culprits.append(&mut found);
         }
+        self.changed = self.crashes.iter().any(|crash| !crash.has_settled(now));
         culprits
     }
 
-    /// The points of each suspect, over confirmed crashes that are apart by `MIN_INTERVAL`.
-    fn points(&self) -> BTreeMap<PromptPartId, u32> {
-        let mut confirmed: Vec<&Crash> =
-            self.crashes.iter().filter(|crash| crash.is_confirmed()).collect();
+    /// The parts with the highest score, if it is enough. Parts that were answered before are
+    /// considered only if there are no others.
+    fn most_suspect(&self, scores: &BTreeMap<PromptPartId, Score>) -> Vec<PromptPartId> {
+        let (answered, unanswered): (Vec<_>, Vec<_>) =
+            scores.iter().partition(|(part, _)| self.answered.contains_key(part));
+        let with_most = |parts: &[(&PromptPartId, &Score)]| -> (Score, Vec<PromptPartId>) {
+            let most = parts.iter().map(|(_, score)| **score).max().unwrap_or_default();
+            let of_most = parts.iter().filter(|(_, score)| **score == most);
+            (most, of_most.map(|(part, _)| **part).collect())
+        };
+        let (most, found) = with_most(&unanswered);
+        let needed = if found.len() > 1 { MIN_POINTS_TIED } else { MIN_POINTS };
+        let repeated = found.len() == 1 && most.bursts > 1 && most.all >= MIN_POINTS_CLOSE;
+        if most.apart >= needed || repeated {
+            return found;
+        }
+        let (most, found) = with_most(&answered);
+        if most.apart >= MIN_POINTS_ANSWERED { found } else { Vec::new() }
+    }
+
+    /// The scores of all suspects, over settled and confirmed crashes.
+    fn scores(&self, now: Instant) -> BTreeMap<PromptPartId, Score> {
+        let counts = |crash: &&Crash| crash.has_settled(now) && crash.is_confirmed();
+        let mut confirmed: Vec<&Crash> = self.crashes.iter().filter(counts).collect();
         confirmed.sort_by_key(|crash| crash.at);
         let mut last_counted: BTreeMap<PromptPartId, Instant> = BTreeMap::new();
-        let mut points: BTreeMap<PromptPartId, u32> = BTreeMap::new();
+        let mut scores: BTreeMap<PromptPartId, Score> = BTreeMap::new();
         for crash in confirmed {
-            for (part, own) in &crash.suspects {
+            for (part, points) in &crash.suspects {
+                let score = scores.entry(*part).or_default();
+                score.all += points;
                 let last = last_counted.get(part);
                 if last.is_none_or(|last| crash.at >= *last + MIN_INTERVAL) {
                     last_counted.insert(*part, crash.at);
-                    *points.entry(*part).or_default() += own;
+                    score.apart += points;
+                    score.bursts += 1;
                 }
             }
         }
-        points
+        scores
     }
 
     fn record_broken(&mut self, host: HostId, parts: &[PromptPartId], began: bool, at: Instant) {
--- a/crates/quarantine/tests/detector.rs
+++ b/crates/quarantine/tests/detector.rs
@@ -33,8 +33,9 @@
     detector.record(unreachable(host), now + ms(50));
 }
 
-fn culprits(detector: &mut CrashDetector) -> Vec<PromptPartId> {
-    detector.culprits(|_| false)
+/// The parts named once the answers of `now` have been reported.
+fn culprits(detector: &mut CrashDetector, now: Instant) -> Vec<PromptPartId> {
+    detector.culprits(|_| false, now + ms(300))
 }
 
 #[gtest]
@@ -42,13 +43,15 @@
     let start = Instant::now();
     let mut detector = CrashDetector::default();
     for number in 0..3 {
-        expect_that!(culprits(&mut detector), is_empty());
         let now = start + ms(300) * number as u32;
+        expect_that!(culprits(&mut detector, now), is_empty());
         crash(&mut detector, number, &[COMMON, DEADLY, 10 + number], now);
         detector.record(answered(COMMON), now + ms(100));
     }
-    expect_that!(culprits(&mut detector), elements_are![eq(&DEADLY)]);
-    expect_that!(culprits(&mut detector), is_empty());
+    let last = start + ms(600);
+    expect_that!(detector.culprits(|_| false, last + ms(200)), is_empty());
+    expect_that!(culprits(&mut detector, last), elements_are![eq(&DEADLY)]);
+    expect_that!(culprits(&mut detector, last + ms(100)), is_empty());
 }
 
 #[gtest]
@@ -56,8 +59,9 @@
     let start = Instant::now();
     let mut detector = CrashDetector::default();
     for number in 0..9 {
-        crash(&mut detector, number, &[DEADLY], start + ms(3_600_000) * number as u32);
-        expect_that!(culprits(&mut detector), is_empty());
+        let now = start + ms(3_600_000) * number as u32;
+        crash(&mut detector, number, &[DEADLY], now);
+        expect_that!(culprits(&mut detector, now), is_empty());
     }
 }
 
@@ -68,7 +72,7 @@
     for number in 0..40 {
         crash(&mut detector, number, &[COMMON, 10 + number % 5], start + ms(number));
     }
-    expect_that!(culprits(&mut detector), is_empty());
+    expect_that!(culprits(&mut detector, start + ms(40)), is_empty());
 }
 
 #[gtest]
@@ -78,7 +82,7 @@
     for number in 0..40 {
         let now = start + ms(500) * number as u32;
         detector.record(broken(number % 4, &[DEADLY], true), now);
-        expect_that!(culprits(&mut detector), is_empty());
+        expect_that!(culprits(&mut detector, now), is_empty());
     }
 }
 
@@ -92,7 +96,7 @@
         detector.record(broken(number, &[], true), now);
         detector.record(broken(number, &[20 + number], false), now);
     }
-    expect_that!(culprits(&mut detector), elements_are![eq(&DEADLY)]);
+    expect_that!(culprits(&mut detector, start + ms(600)), elements_are![eq(&DEADLY)]);
 }
 
 #[gtest]
@@ -100,11 +104,14 @@
     let start = Instant::now();
     let mut detector = CrashDetector::default();
     for number in 0..4 {
-        crash(&mut detector, number, &[COMMON, DEADLY], start + ms(300) * number as u32);
-        expect_that!(culprits(&mut detector), is_empty());
+        let now = start + ms(300) * number as u32;
+        crash(&mut detector, number, &[COMMON, DEADLY], now);
+        expect_that!(culprits(&mut detector, now), is_empty());
     }
-    crash(&mut detector, 4, &[COMMON, DEADLY], start + ms(1500));
-    expect_that!(culprits(&mut detector), unordered_elements_are![eq(&COMMON), eq(&DEADLY)]);
+    let now = start + ms(1500);
+    crash(&mut detector, 4, &[COMMON, DEADLY], now);
+    let both = culprits(&mut detector, now);
+    expect_that!(both, unordered_elements_are![eq(&COMMON), eq(&DEADLY)]);
 }
 
 #[gtest]
@@ -112,12 +119,39 @@
     let start = Instant::now();
     let mut detector = CrashDetector::default();
     for number in 0..6 {
-        expect_that!(culprits(&mut detector), is_empty());
         let now = start + ms(300) * number as u32;
+        expect_that!(culprits(&mut detector, now), is_empty());
         detector.record(broken(number, &[DEADLY], false), now);
         detector.record(unreachable(number), now);
     }
-    expect_that!(culprits(&mut detector), elements_are![eq(&DEADLY)]);
+    expect_that!(culprits(&mut detector, start + ms(1500)), elements_are![eq(&DEADLY)]);
+}
+
+/// Guards against a part that crashes servers in a few short bursts and is never named.
+#[gtest]
+fn culprits_crashes_in_two_bursts() {
+    let start = Instant::now();
+    let mut detector = CrashDetector::default();
+    for (number, at) in [0, 40, 80, 2000, 2040].into_iter().enumerate() {
+        let now = start + ms(at);
+        expect_that!(culprits(&mut detector, now), is_empty());
+        crash(&mut detector, number as u64, &[DEADLY], now);
+    }
+    expect_that!(culprits(&mut detector, start + ms(2040)), elements_are![eq(&DEADLY)]);
+}
+
+/// Guards against the quarantine of a common part while all servers are down.
+#[gtest]
+fn culprits_part_answered_before_needs_many_crashes() {
+    let start = Instant::now();
+    let mut detector = CrashDetector::default();
+    detector.record(answered(COMMON), start);
+    for number in 0..10 {
+        let now = start + ms(300) * (number as u32 + 1);
+        expect_that!(culprits(&mut detector, now), is_empty());
+        crash(&mut detector, number, &[COMMON], now);
+    }
+    expect_that!(culprits(&mut detector, start + ms(3000)), elements_are![eq(&COMMON)]);
 }
 
 #[gtest]
@@ -125,7 +159,8 @@
     let start = Instant::now();
     let mut detector = CrashDetector::default();
     crash(&mut detector, 1, &[COMMON, DEADLY], start);
-    expect_that!(detector.culprits(|part| part == DEADLY), elements_are![eq(&DEADLY)]);
+    let named = detector.culprits(|part| part == DEADLY, start + ms(300));
+    expect_that!(named, elements_are![eq(&DEADLY)]);
 }
 
 #[gtest]
@@ -140,7 +175,7 @@
         detector.record(late, now);
         detector.record(unreachable(number), now);
     }
-    expect_that!(culprits(&mut detector), is_empty());
+    expect_that!(culprits(&mut detector, start + ms(2000)), is_empty());
 }
 
 /// Guards against evidence that is lost with the leader that collected it.
@@ -169,7 +204,7 @@
     entries[0].record_broken(&"host-7".into(), &[DEADLY], true, now);
     entries[0].record_unreachable(&"host-7".into(), now);
     deliver(&mut entries, &mut new, now + ms(200));
-    expect_that!(culprits(&mut new), elements_are![eq(&DEADLY)]);
+    expect_that!(culprits(&mut new, now), elements_are![eq(&DEADLY)]);
 }
 
 #[gtest]
