Send entries the quarantine only once a part has been in it

An empty list was sent to each entry that opened a session; an entry of an earlier version cannot read that message and would close the session again and again in a rolling update. A request that waits for a slot to retry now also stops when a part of its prompt enters quarantine, instead of being sent once more.

--- a/crates/coordinator/src/leader/entries.rs
+++ b/crates/coordinator/src/leader/entries.rs
@@ -34,8 +34,8 @@
                 if let Some(view) = &leader.view {
                     send_or_close(&tx, ControlMessage::View(view.clone()));
                 }
-                if let Some(message) = self.quarantine_message() {
-                    send_or_close(&tx, message);
+                if let Some(parts) = self.quarantined_parts() {
+                    send_or_close(&tx, ControlMessage::Quarantine(parts));
                 }
             }
             _ => send_or_close(&tx, self.not_leader()),
--- a/crates/coordinator/src/leader/quarantine.rs
+++ b/crates/coordinator/src/leader/quarantine.rs
@@ -4,8 +4,9 @@
 use crate::{driver::Driver, ledger::Command};
 use fleet::ControlMessage;
 use log::{info, warn};
+use model::ids::PromptPartId;
 use quarantine::{CrashDetector, Observation, QuarantineChange, QuarantineTimers};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// What the leader knows of prompt parts beyond the log.
 #[derive(Debug, Default)]
@@ -44,24 +45,23 @@
     }
 
     /// Sends the parts in quarantine to all entries.
-    pub(crate) fn publish_quarantine(&mut self) {
-        let Some(message) = self.quarantine_message() else {
+    pub(crate) fn publish_quarantine(&self) {
+        let Some(parts) = self.quarantined_parts() else {
             return;
         };
-        if let ControlMessage::Quarantine(parts) = &message {
-            info!("event=quarantine parts={}", parts.len());
-            self.counters.parts_in_quarantine.set(parts.len() as i64);
-        }
+        info!("event=quarantine parts={}", parts.len());
+        self.counters.parts_in_quarantine.set(parts.len() as i64);
         for tx in self.entries.values() {
-            send_or_close(tx, message.clone());
+            send_or_close(tx, ControlMessage::Quarantine(parts.clone()));
         }
     }
 
-    /// Returns the parts in quarantine, if this process leads.
-    pub(super) fn quarantine_message(&mut self) -> Option<ControlMessage> {
+    /// Returns the parts in quarantine, each with the time left, if this process leads and any
+    /// part has been in quarantine.
+    pub(super) fn quarantined_parts(&self) -> Option<Vec<(PromptPartId, Duration)>> {
+        let leader = self.leader_state.as_ref()?;
+        let records = &self.ledger.quarantine;
         let now = self.clock.now();
-        let leader = self.leader_state.as_mut()?;
-        let parts = leader.quarantine.timers.blocked(&self.ledger.quarantine, now);
-        Some(ControlMessage::Quarantine(parts))
+        (!records.is_empty()).then(|| leader.quarantine.timers.blocked(records, now))
     }
 }
--- a/crates/coordinator/src/membership.rs
+++ b/crates/coordinator/src/membership.rs
@@ -48,8 +48,12 @@
             self.no_leader_since = None;
             return;
         }
-        let since = *self.no_leader_since.get_or_insert(now);
-        if now < self.next_no_leader_log_at || now == since {
+        let Some(since) = self.no_leader_since else {
+            // An election may already be under way.
+            self.no_leader_since = Some(now);
+            return;
+        };
+        if now < self.next_no_leader_log_at {
             return;
         }
         self.next_no_leader_log_at = now + NO_LEADER_LOG_INTERVAL;
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -243,12 +243,7 @@
             if now >= request.deadline {
                 return Err(Refusal::TimedOut { verdict: request.verdict });
             }
-            if let Some(retry_after) = self.state.blocked_for(&request.info.shared_parts) {
-                return Err(match request.verdict {
-                    Verdict::NotRun => Refusal::Quarantined { retry_after },
-                    _ => Refusal::ResponseLost,
-                });
-            }
+            self.check_quarantine(request)?;
             let choice = match self.choose_backend(request, now) {
                 Err(Refusal::ResponseLost) if request.kind.may_retry() => {
                     self.wait_for_slot(request).await?
@@ -299,6 +294,7 @@
         let end = request.deadline.min(self.state.clock.now() + SLOT_WAIT);
         loop {
             Timer::after(SLOT_POLL_INTERVAL).await;
+            self.check_quarantine(request)?;
             let now = self.state.clock.now();
             match self.choose_backend(request, now) {
                 Err(Refusal::ResponseLost) if now < end => {}
@@ -307,6 +303,15 @@
         }
     }
 
+    /// Checks that no part of the request's prompt is in quarantine.
+    fn check_quarantine(&self, request: &ProxyRequest) -> Result<(), Refusal> {
+        match (self.state.blocked_for(&request.info.shared_parts), request.verdict) {
+            (None, _) => Ok(()),
+            (Some(retry_after), Verdict::NotRun) => Err(Refusal::Quarantined { retry_after }),
+            (Some(_), _) => Err(Refusal::ResponseLost),
+        }
+    }
+
     /// Checks that a failed request may be retried, and charges its service's retry budget.
     pub(crate) fn authorize_retry(&self, request: &ProxyRequest) -> Result<(), Refusal> {
         let safe = request.verdict.permits_retry(request.kind.may_retry());
@@ -439,11 +444,8 @@
         to: SocketAddr,
     ) {
         let reusable = !closes_connection(response.headers());
-        let read = with_timeout(
-            DISCARD_TIMEOUT,
-            collect_response(response.into_body(), DISCARD_MAX_BYTES),
-        )
-        .await;
+        let rest = collect_response(response.into_body(), DISCARD_MAX_BYTES);
+        let read = with_timeout(DISCARD_TIMEOUT, rest).await;
         if reusable && matches!(read, Ok(Ok(_))) {
             self.client.return_idle(to, connection);
         }
