--- a/crates/coordinator/src/leader/quarantine.rs
+++ b/crates/coordinator/src/leader/quarantine.rs
@@ -36,7 +36,7 @@
         let culprits = leader.quarantine.detector.culprits(|part| records.is_known(part), now);
         let mut changes = leader.quarantine.timers.due(records, now);
         for part in culprits.into_iter().filter(|part| !records.is_in_quarantine(*part)) {
-            warn!("event=part_convicted part={part:x}");
+            warn!("event=part_quarantined part={part:x}");
             changes.push(QuarantineChange::Begin(part));
         }
         for change in changes {
--- a/crates/quarantine/src/detector.rs
+++ b/crates/quarantine/src/detector.rs
@@ -24,13 +24,13 @@
 const POINTS_BEGUN: u32 = 2;
 /// Points for a crash in which a request with the part was waiting.
 const POINTS_WAITING: u32 = 1;
-/// Points at which a part is named that has never been answered.
+/// Points at which a part is identified that has never been answered.
 const MIN_POINTS: u32 = 3 * POINTS_BEGUN;
-/// Points of all crashes, in more than one burst, at which such a part is named.
+/// Points of all crashes, in more than one burst, at which such a part is identified.
 const MIN_POINTS_CLOSE: u32 = 5 * POINTS_BEGUN;
-/// Points at which several such parts are named together, if all have the same points.
+/// Points at which several such parts are identified together, if all have the same points.
 const MIN_POINTS_TIED: u32 = 5 * POINTS_BEGUN;
-/// Points at which a part is named that was answered before the first of these crashes.
+/// Points at which a part is identified that was answered before the first of these crashes.
 const MIN_POINTS_ANSWERED: u32 = 10 * POINTS_BEGUN;
 /// Time after a crash until it counts: by then all entries have reported the answers that clear
 /// its suspects.
@@ -112,7 +112,7 @@
 
     /// Returns the parts that must have caused the recent crashes, and forgets these crashes.
     ///
-    /// A part with `is_known`, which has been in quarantine before, is named after one crash.
+    /// A part with `is_known`, which has been in quarantine before, is identified after one crash.
     pub fn culprits(
         &mut self,
         is_known: impl Fn(PromptPartId) -> bool,
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -1,7 +1,7 @@
 //! Quarantine of prompt parts that crash backend servers.
 //!
 //! Entries record which requests broke off, and which were answered, in an [`EvidenceLog`]. The
-//! leader of control collects their observations in a [`CrashDetector`], which names the parts
+//! leader of control collects their observations in a [`CrashDetector`], which identifies the parts
 //! that the requests of several crashes have in common. The leader commits these parts, so that
 //! they survive it, and each entry rejects requests that contain one of its [`BlockedParts`].
 //!
--- a/crates/quarantine/tests/detector.rs
+++ b/crates/quarantine/tests/detector.rs
@@ -33,7 +33,7 @@
     detector.record(unreachable(host), now + ms(50));
 }
 
-/// The parts named once the answers of `now` have been reported.
+/// The parts identified once the answers of `now` have been reported.
 fn culprits(detector: &mut CrashDetector, now: Instant) -> Vec<PromptPartId> {
     detector.culprits(|_| false, now + ms(300))
 }
@@ -55,7 +55,7 @@
 }
 
 #[gtest]
-fn culprits_crashes_hours_apart_name_nothing() {
+fn culprits_crashes_hours_apart_identify_nothing() {
     let start = Instant::now();
     let mut detector = CrashDetector::default();
     for number in 0..9 {
@@ -66,7 +66,7 @@
 }
 
 #[gtest]
-fn culprits_simultaneous_loss_of_many_hosts_names_nothing() {
+fn culprits_simultaneous_loss_of_many_hosts_identifies_nothing() {
     let start = Instant::now();
     let mut detector = CrashDetector::default();
     for number in 0..40 {
@@ -76,7 +76,7 @@
 }
 
 #[gtest]
-fn culprits_single_failures_of_running_servers_name_nothing() {
+fn culprits_single_failures_of_running_servers_identify_nothing() {
     let start = Instant::now();
     let mut detector = CrashDetector::default();
     for number in 0..40 {
@@ -127,7 +127,7 @@
     expect_that!(culprits(&mut detector, start + ms(1500)), elements_are![eq(&DEADLY)]);
 }
 
-/// Guards against a part that crashes servers in a few short bursts and is never named.
+/// Guards against a part that crashes servers in a few short bursts and is never identified.
 #[gtest]
 fn culprits_crashes_in_two_bursts() {
     let start = Instant::now();
@@ -155,12 +155,12 @@
 }
 
 #[gtest]
-fn culprits_known_part_is_named_after_one_crash() {
+fn culprits_known_part_is_identified_after_one_crash() {
     let start = Instant::now();
     let mut detector = CrashDetector::default();
     crash(&mut detector, 1, &[COMMON, DEADLY], start);
-    let named = detector.culprits(|part| part == DEADLY, start + ms(300));
-    expect_that!(named, elements_are![eq(&DEADLY)]);
+    let identified = detector.culprits(|part| part == DEADLY, start + ms(300));
+    expect_that!(identified, elements_are![eq(&DEADLY)]);
 }
 
 #[gtest]
--- a/crates/quarantine/tests/random.rs
+++ b/crates/quarantine/tests/random.rs
@@ -58,7 +58,7 @@
     /// Requests with the deadly part that reached a server later than `CONTAINED_MS` after the
     /// fifth crash.
     late_arrivals: u32,
-    convicted: Vec<PromptPartId>,
+    identified: Vec<PromptPartId>,
 }
 
 impl World {
@@ -67,7 +67,7 @@
     }
 
     fn send(&mut self, entry: usize, parts: Vec<PromptPartId>, attempts: u32) {
-        if attempts == 0 || parts.iter().any(|part| self.convicted.contains(part)) {
+        if attempts == 0 || parts.iter().any(|part| self.identified.contains(part)) {
             return;
         }
         let now_ms = self.now_ms;
@@ -158,10 +158,10 @@
                 }
             }
         }
-        let known = &self.convicted;
+        let known = &self.identified;
         let now = self.start + Duration::from_millis(now_ms);
         let culprits = self.detector.culprits(|part| known.contains(&part), now);
-        self.convicted.extend(culprits);
+        self.identified.extend(culprits);
     }
 }
 
@@ -169,7 +169,7 @@
     format!("host-{server}").into()
 }
 
-/// Runs one case. Returns the parts convicted, and the late arrivals of the deadly part.
+/// Runs one case. Returns the parts identified, and the late arrivals of the deadly part.
 fn run(seed: u64, deadly_share: f64, crashes_per_s: f64) -> (Vec<PromptPartId>, u32) {
     let mut world = World {
         rng: Rng::with_seed(seed),
@@ -181,22 +181,22 @@
         detector: CrashDetector::default(),
         deadly_crashes_ms: Vec::new(),
         late_arrivals: 0,
-        convicted: Vec::new(),
+        identified: Vec::new(),
     };
     while world.now_ms < RUN_MS {
         world.step(deadly_share, crashes_per_s);
     }
-    world.convicted.sort_unstable();
-    world.convicted.dedup();
-    (world.convicted, world.late_arrivals)
+    world.identified.sort_unstable();
+    world.identified.dedup();
+    (world.identified, world.late_arrivals)
 }
 
 #[gtest]
 fn culprits_without_a_deadly_part() {
     for seed in 0..cases() {
         for crashes_per_s in [0.3, 1.0, 3.0] {
-            let (convicted, _) = run(seed, 0.0, crashes_per_s);
-            expect_that!(convicted, is_empty(), "seed {seed}, {crashes_per_s} crashes a second");
+            let (identified, _) = run(seed, 0.0, crashes_per_s);
+            expect_that!(identified, is_empty(), "seed {seed}, {crashes_per_s} crashes a second");
         }
     }
 }
@@ -205,11 +205,11 @@
 fn culprits_with_a_deadly_part() {
     for seed in 0..cases() {
         for (share, crashes_per_s) in [(0.01, 0.0), (0.05, 0.0), (0.05, 1.0), (0.3, 0.3)] {
-            let (convicted, late_arrivals) = run(seed, share, crashes_per_s);
+            let (identified, late_arrivals) = run(seed, share, crashes_per_s);
             let case = format!("seed {seed}, share {share}, {crashes_per_s} other crashes");
             expect_that!(late_arrivals, le(3), "{case}");
-            expect_that!(convicted, contains_each![eq(&DEADLY)], "{case}");
-            expect_that!(convicted, each(eq(&DEADLY)), "{case}");
+            expect_that!(identified, contains_each![eq(&DEADLY)], "{case}");
+            expect_that!(identified, each(eq(&DEADLY)), "{case}");
         }
     }
 }
