Share the plan of the directed runs of the log

No check changes: the three directed tests and the random runs of tolerated losses build their plan in one function.

--- a/crates/replog/tests/random/main.rs
+++ b/crates/replog/tests/random/main.rs
@@ -89,27 +89,30 @@
     expect_that!(steps, gt(0));
 }
 
+/// A plan whose only faults are `faults`, on a new log with three voters that must tolerate the
+/// loss of `tolerated` nodes or one failure domain.
+fn plan_of_losses(nodes: usize, domains: usize, tolerated: usize, faults: Vec<Fault>) -> Plan {
+    Plan {
+        voters: 3,
+        nodes,
+        tolerance: Tolerance { nodes: tolerated, domains: 1 },
+        domains,
+        replace_after: Duration::from_secs(1),
+        random_faults: false,
+        leader_within_ms: Some(3000),
+        seed: 1,
+        loss_percent: 0,
+        proposals_per_mille: 100,
+        faults,
+    }
+}
+
 /// Guards against a log whose voters tolerate fewer lost disks than the deployment.
 #[googletest::test]
 fn log_lost_with_two_disks() {
     for wiped in [[0, 1], [0, 2], [1, 2], [2, 3], [4, 5]] {
-        World::run(Plan {
-            voters: 3,
-            nodes: 6,
-            tolerance: Tolerance { nodes: 2, domains: 1 },
-            domains: 3,
-            replace_after: Duration::from_secs(1),
-            random_faults: false,
-            leader_within_ms: Some(3000),
-            seed: 1,
-            loss_percent: 0,
-            proposals_per_mille: 100,
-            faults: vec![Fault::LosePower {
-                at_ms: 10_000,
-                wiped: wiped.to_vec(),
-                duration_ms: 1200,
-            }],
-        });
+        let power = Fault::LosePower { at_ms: 10_000, wiped: wiped.to_vec(), duration_ms: 1200 };
+        World::run(plan_of_losses(6, 3, 2, vec![power]));
     }
 }
 
@@ -172,19 +175,8 @@
             }
             at_ms += duration_ms + catch_up_ms;
         }
-        World::run(Plan {
-            voters: 3,
-            nodes,
-            tolerance: Tolerance { nodes: tolerated, domains: 1 },
-            domains,
-            replace_after: Duration::from_secs(1),
-            random_faults: false,
-            leader_within_ms: Some(3000),
-            seed,
-            loss_percent: 0,
-            proposals_per_mille: proposals,
-            faults,
-        });
+        let plan = plan_of_losses(nodes, domains, tolerated, faults);
+        World::run(Plan { seed, proposals_per_mille: proposals, ..plan });
         Ok(())
     });
     if let Err(e) = outcome {
@@ -215,39 +207,19 @@
 /// Guards against elections that fail again and again because the two nodes left split the votes.
 #[googletest::test]
 fn log_votes_split_after_power_loss() {
-    World::run(Plan {
-        voters: 3,
-        nodes: 4,
-        tolerance: Tolerance { nodes: 1, domains: 1 },
-        domains: 4,
-        replace_after: Duration::from_secs(1),
-        random_faults: false,
-        leader_within_ms: Some(3000),
-        seed: 1_884_975_464_838_184_694,
-        loss_percent: 0,
-        proposals_per_mille: 100,
-        faults: vec![Fault::LosePower { at_ms: 6000, wiped: vec![2], duration_ms: 300 }],
-    });
+    let power = Fault::LosePower { at_ms: 6000, wiped: vec![2], duration_ms: 300 };
+    let seed = 1_884_975_464_838_184_694;
+    World::run(Plan { seed, ..plan_of_losses(4, 4, 1, vec![power]) });
 }
 
 /// Guards against a lost voter that still counts as one when the next one is lost.
 #[googletest::test]
 fn log_lost_voter_replaced_too_late() {
-    World::run(Plan {
-        voters: 3,
-        nodes: 4,
-        tolerance: Tolerance { nodes: 1, domains: 1 },
-        domains: 4,
-        replace_after: Duration::from_secs(1),
-        random_faults: false,
-        leader_within_ms: Some(3000),
-        seed: 1_150_125_818_805_492_959,
-        loss_percent: 0,
-        proposals_per_mille: 100,
-        faults: vec![
-            Fault::LosePower { at_ms: 6000, wiped: vec![3], duration_ms: 1260 },
-            Fault::LosePower { at_ms: 11_260, wiped: vec![2], duration_ms: 300 },
-            Fault::Crash { at_ms: 15_560, node: 0, duration_ms: 3001 },
-        ],
-    });
+    let faults = vec![
+        Fault::LosePower { at_ms: 6000, wiped: vec![3], duration_ms: 1260 },
+        Fault::LosePower { at_ms: 11_260, wiped: vec![2], duration_ms: 300 },
+        Fault::Crash { at_ms: 15_560, node: 0, duration_ms: 3001 },
+    ];
+    let seed = 1_150_125_818_805_492_959;
+    World::run(Plan { seed, ..plan_of_losses(4, 4, 1, faults) });
 }
