List a rare sound part that is quarantined beside a deadly one

Seed 1861 of the random runs of the detector, 1 of 8,000 cases with a deadly part and one other crash a second: one request with a rare sound part and the deadly one crashed two servers, and a crash of another cause hit a second request with the sound part before the deadly one was seen again. Tries of one request count like those of several.

--- a/crates/quarantine/tests/random.rs
+++ b/crates/quarantine/tests/random.rs
@@ -213,3 +213,10 @@
         }
     }
 }
+
+/// Guards against the quarantine of a rare sound part that other crashes hit as well.
+#[gtest]
+fn culprits_rare_sound_part_beside_a_deadly_one() {
+    let (identified, _) = run(1861, 0.05, 1.0);
+    expect_that!(identified, each(eq(&DEADLY)));
+}
