Log late heartbeats of control, and count what it sends to entries

The logs could not tell a leader that is late with its heartbeats from a quorum that is lost: nothing said how late the driver was, why a leader gave up, or what it sent. No logic changes.

--- a/crates/coordinator/src/driver.rs
+++ b/crates/coordinator/src/driver.rs
@@ -42,6 +42,9 @@
 /// Silence of a voter after which a process that has caught up replaces it.
 const VOTER_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// Time between two batches above which it is logged, as heartbeats are late then.
+const LATE_BATCH: Duration = LOG_HEARTBEAT.saturating_mul(2);
+
 /// Configuration of the driver.
 #[derive(Debug, Clone)]
 pub struct Config {
@@ -89,6 +92,8 @@
     pub(crate) entries: BTreeMap<SessionId, Sender<ControlMessage>>,
     pub(crate) leader_state: Option<LeaderState>,
     pub(crate) next_gossip_at: Instant,
+    /// When the last batch of events was processed.
+    last_batch_at: Instant,
     /// When this process first noticed that the log has no leader.
     pub(crate) no_leader_since: Option<Instant>,
     pub(crate) next_no_leader_log_at: Instant,
@@ -140,6 +145,7 @@
             entries: BTreeMap::new(),
             leader_state: None,
             next_gossip_at: now,
+            last_batch_at: now,
             no_leader_since: None,
             next_no_leader_log_at: now,
         };
@@ -167,6 +173,7 @@
     /// Runs the timers and the leader's work after a batch of events, and syncs the log.
     fn process_batch(&mut self) -> Result<(), StoreError> {
         let now = self.clock.now();
+        self.record_batch(now);
         self.log.node.tick(now);
         self.send_gossip(now);
         self.flush()?;
@@ -178,6 +185,21 @@
         Ok(())
     }
 
+    /// Records the time since the last batch, in which no heartbeat was sent.
+    fn record_batch(&mut self, now: Instant) {
+        let interval = now.saturating_duration_since(self.last_batch_at);
+        self.last_batch_at = now;
+        self.counters.batch_interval_seconds.observe(interval.as_secs_f64());
+        if interval > LATE_BATCH {
+            warn!(
+                "event=late_batch interval_ms={} limit_ms={} role={:?}",
+                interval.as_millis(),
+                LATE_BATCH.as_millis(),
+                self.log.node.role()
+            );
+        }
+    }
+
     fn handle_event(&mut self, event: Event) {
         let now = self.clock.now();
         match event {
--- a/crates/coordinator/src/leader/entries.rs
+++ b/crates/coordinator/src/leader/entries.rs
@@ -29,6 +29,7 @@
         match &self.leader_state {
             Some(leader) if self.log.node.holds_lease(now) => {
                 if let Some(manifest) = &leader.manifest {
+                    self.counters.manifests_sent.inc();
                     send_or_close(&tx, ControlMessage::Manifest(manifest.clone()));
                 }
                 if let Some(view) = &leader.view {
--- a/crates/coordinator/src/leader/mod.rs
+++ b/crates/coordinator/src/leader/mod.rs
@@ -142,8 +142,15 @@
     }
 
     pub(crate) fn step_down(&mut self) {
-        info!("event=follow term={}", self.log.node.term());
-        self.leader_state = None;
+        if let Some(leader) = self.leader_state.take() {
+            let led = self.clock.now().saturating_duration_since(leader.since);
+            info!(
+                "event=follow term={} led_ms={} role={:?}",
+                self.log.node.term(),
+                led.as_millis(),
+                self.log.node.role()
+            );
+        }
         self.counters.leads.set(0);
         // Waiters get no reply: the next leader may still commit their records.
         drop(self.log.take_waiters());
@@ -178,6 +185,7 @@
         leader.manifest = Some(manifest.clone());
         leader.changed = true;
         for tx in self.entries.values() {
+            self.counters.manifests_sent.inc();
             send_or_close(tx, ControlMessage::Manifest(manifest.clone()));
         }
     }
--- a/crates/coordinator/src/membership.rs
+++ b/crates/coordinator/src/membership.rs
@@ -27,6 +27,8 @@
         }
         self.next_gossip_at = now + HELLO_INTERVAL;
         self.expire_peers(now);
+        self.counters.peer_sent_bytes.set(self.links.bytes().sent() as i64);
+        self.counters.peer_received_bytes.set(self.links.bytes().received() as i64);
         let gossip = ControlGossip {
             id: self.log.node.id(),
             name: self.config.name.clone(),
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -14,6 +14,10 @@
     pub(crate) elections_won: Counter,
     pub(crate) syncs: Counter,
     pub(crate) log_bytes: Gauge,
+    pub(crate) peer_sent_bytes: Gauge,
+    pub(crate) peer_received_bytes: Gauge,
+    pub(crate) manifests_sent: Counter,
+    pub(crate) batch_interval_seconds: Histogram,
     pub(crate) reports: Counter,
     pub(crate) reports_stale: Counter,
     pub(crate) orders: Counter,
@@ -45,6 +49,15 @@
             elections_won: counter("elections_won", "elections won"),
             syncs: counter("log_syncs", "syncs of the log"),
             log_bytes: metrics.gauge("log_bytes", "size of the log file in bytes"),
+            peer_sent_bytes: metrics
+                .gauge("peer_sent_bytes", "bytes sent to other control processes and entries"),
+            peer_received_bytes: metrics.gauge(
+                "peer_received_bytes",
+                "bytes received from other control processes and entries",
+            ),
+            manifests_sent: counter("manifests_sent", "manifests sent to entries"),
+            batch_interval_seconds: metrics
+                .histogram("batch_interval_seconds", "time between two batches of events"),
             reports: counter("host_reports", "reports of hosts taken"),
             reports_stale: counter("host_reports_stale", "reports that a later one overtook"),
             orders: counter("orders_sent", "orders sent to hosts"),
--- a/crates/peer/src/links.rs
+++ b/crates/peer/src/links.rs
@@ -84,6 +84,11 @@
         self.queues.keys().copied().collect()
     }
 
+    /// The bytes of the sessions that share the counter of these links.
+    pub fn bytes(&self) -> &ByteCount {
+        &self.bytes
+    }
+
     /// The number of links.
     pub fn len(&self) -> usize {
         self.queues.len()
