Send a manifest only to entries that lack it, a few at a time

Cause: the leader sent the manifest whole to each of 34 entries at once, encoded for each, again in each new session, and every new leader began with that. With 3,000 routes this takes a control process over half a second of its 0.075 of a core, in which it sends no heartbeats; it is replaced, the entries move, and the next leader does the same, for good.

Entries now report the manifest that they hold, first of all in a session and after each manifest. The leader sends it to those that lack it, encoded and compressed once, 128 kB on their way at a time, and answers the operator once the entries that report hold it. A new leader or session costs nothing if the manifest is the same, and a change leaves room for heartbeats whatever the number of entries, so one late leader no longer makes the next one late. A view may now arrive before the first manifest; an entry is ready when it has both.

--- a/crates/coordinator/src/driver.rs
+++ b/crates/coordinator/src/driver.rs
@@ -285,8 +285,9 @@
 
     fn apply(&mut self, entry: Entry) {
         let Entry { index, term, payload } = entry;
+        let mut is_manifest = false;
         match payload {
-            Payload::Data(bytes) => self.apply_command(index, &bytes),
+            Payload::Data(bytes) => is_manifest = self.apply_command(index, &bytes),
             Payload::Voters(voters) => {
                 self.ledger.applied = index;
                 let tolerated = voters.len().saturating_sub(1) / 2;
@@ -301,15 +302,19 @@
         }
         for (reply, applied) in self.log.resolve_waiters(index, term) {
             match reply {
+                Some(reply) if applied && is_manifest => self.reply_after_manifest(reply),
                 Some(reply) if applied => self.reply_after_view(reply),
                 reply => send_reply(reply, Reply::NotLeader(None)),
             }
         }
     }
 
-    fn apply_command(&mut self, index: Index, bytes: &[u8]) {
+    /// Applies a command, and returns whether it is a manifest.
+    fn apply_command(&mut self, index: Index, bytes: &[u8]) -> bool {
+        let mut is_manifest = false;
         match decode(bytes) {
             Ok(command) => {
+                is_manifest = matches!(command, Command::Manifest(_));
                 let formed_group = match &command {
                     Command::Group(GroupChange::Formed { name, .. }) => Some(name.clone()),
                     _ => None,
@@ -335,6 +340,7 @@
             }
         }
         self.mark_changed();
+        is_manifest
     }
 
     fn compact(&mut self) {
--- a/crates/coordinator/src/leader/entries.rs
+++ b/crates/coordinator/src/leader/entries.rs
@@ -28,10 +28,6 @@
     ) {
         match &self.leader_state {
             Some(leader) if self.log.node.holds_lease(now) => {
-                if let Some(manifest) = &leader.manifest {
-                    self.counters.manifests_sent.inc();
-                    send_or_close(&tx, ControlMessage::Manifest(manifest.clone()));
-                }
                 if let Some(view) = &leader.view {
                     send_or_close(&tx, ControlMessage::View(view.clone()));
                 }
@@ -52,6 +48,7 @@
         self.entries.remove(&session);
         if let Some(leader) = &mut self.leader_state {
             // The session is closed when the process of the entry exits.
+            leader.distribution.remove(session);
             if let Some((status, _)) = leader.entries.remove(&session) {
                 info!("event=entry_lost entry={}", status.entry);
                 leader.changed = true;
@@ -83,6 +80,7 @@
                     leader.changed = true;
                 }
                 leader.has_traffic |= status.forwarded > 0;
+                leader.distribution.record_report(session, status.manifest, now);
                 let stalled_before = before.map(|(before, _)| &before.stalled);
                 leader.changed |=
                     !status.stalled.is_empty() && stalled_before != Some(&status.stalled);
--- a/crates/coordinator/src/leader/mod.rs
+++ b/crates/coordinator/src/leader/mod.rs
@@ -6,6 +6,7 @@
 
 use self::quarantine::Quarantine;
 use crate::{
+    distribution::Distribution,
     driver::Driver,
     events::{Event, Reply, SessionId},
     ledger::Command,
@@ -13,13 +14,12 @@
 };
 use async_channel::Sender;
 use entries::send_or_close;
-use fleet::{ControlMessage, EntryStatus, GroupName, Manifest, RoutingView};
+use fleet::{ControlMessage, EntryStatus, GroupName, Manifest, PackedManifest, RoutingView};
 use groups::{OrderOutcome, Phase, Planner, PlannerInput, Registry};
 use log::info;
 use serde_json::json;
 use std::{
     collections::BTreeMap,
-    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -61,7 +61,10 @@
     shared_at: Instant,
     /// When the uses of hosts were last recorded.
     host_uses_at: Instant,
-    manifest: Option<Arc<Manifest>>,
+    manifest: Option<Manifest>,
+    /// The manifest as it is sent to entries.
+    packed_manifest: Option<PackedManifest>,
+    distribution: Distribution,
     view: Option<RoutingView>,
     view_at: Instant,
     keepalive_at: Instant,
@@ -77,6 +80,8 @@
     resumes: bool,
     /// Calls to be answered once the resulting view has been sent.
     replies_after_view: Vec<Sender<Reply>>,
+    /// Calls to be answered once the entries hold the manifest.
+    replies_after_manifest: Vec<Sender<Reply>>,
 }
 
 impl LeaderState {
@@ -127,6 +132,8 @@
             shared_at: now,
             host_uses_at: now,
             manifest: None,
+            packed_manifest: None,
+            distribution: Distribution::default(),
             view: None,
             view_at: now,
             keepalive_at: now,
@@ -135,6 +142,7 @@
             changed: true,
             has_traffic: false,
             replies_after_view: Vec::new(),
+            replies_after_manifest: Vec::new(),
         });
         self.publish_manifest();
         self.publish_quarantine();
@@ -174,19 +182,45 @@
         }
     }
 
-    /// Applies the current manifest to the planner and sends it to the entries.
+    /// Applies the current manifest to the planner, and has it sent to the entries that lack it.
     pub(crate) fn publish_manifest(&mut self) {
         let (Some(leader), Some(stored)) = (&mut self.leader_state, &self.ledger.manifest) else {
             return;
         };
-        let manifest = Arc::new(stored.manifest.clone());
+        let manifest = stored.manifest.clone();
         let engine = manifest.services.iter().find(|service| service.engine.is_some());
         leader.planner.set_engine_service(engine.map(|service| service.name.clone()));
-        leader.manifest = Some(manifest.clone());
+        let packed = PackedManifest::pack(&manifest);
+        info!("event=manifest number={} packed_bytes={}", packed.number(), packed.size());
+        leader.distribution.set_manifest(packed.number(), packed.size());
+        leader.packed_manifest = Some(packed);
+        leader.manifest = Some(manifest);
         leader.changed = true;
-        for tx in self.entries.values() {
-            self.counters.manifests_sent.inc();
-            send_or_close(tx, ControlMessage::Manifest(manifest.clone()));
+    }
+
+    /// Sends the manifest to entries that lack it, as many as may be sent it at the same time.
+    fn distribute_manifest(&mut self, now: Instant) {
+        let Some(leader) = &mut self.leader_state else {
+            return;
+        };
+        let Some(packed) = &leader.packed_manifest else {
+            return;
+        };
+        for session in leader.distribution.take_due(now) {
+            if let Some(tx) = self.entries.get(&session) {
+                self.counters.manifests_sent.inc();
+                send_or_close(tx, ControlMessage::Manifest(packed.clone()));
+            }
+        }
+    }
+
+    /// Answers the caller of a manifest once the entries hold it.
+    pub(crate) fn reply_after_manifest(&mut self, reply: Sender<Reply>) {
+        match &mut self.leader_state {
+            Some(leader) => leader.replies_after_manifest.push(reply),
+            None => {
+                let _ = reply.try_send(Reply::Done);
+            }
         }
     }
 
@@ -228,11 +262,16 @@
         }
         self.record_host_uses(now);
         self.run_quarantine(now);
+        self.distribute_manifest(now);
         let Some(leader) = &mut self.leader_state else {
             return;
         };
         if learned || leader.manifest.is_none() {
-            for reply in leader.replies_after_view.drain(..) {
+            let mut replies = std::mem::take(&mut leader.replies_after_view);
+            if leader.distribution.is_complete(now) {
+                replies.append(&mut leader.replies_after_manifest);
+            }
+            for reply in replies {
                 let _ = reply.try_send(Reply::Done);
             }
         }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -4,6 +4,7 @@
 //! The protocols of operators and hosts belong to the program that uses this library. It
 //! submits their calls through a [`Handle`] and implements [`Orders`] to reach the hosts.
 
+mod distribution;
 mod driver;
 mod events;
 mod leader;
@@ -13,6 +14,7 @@
 mod sessions;
 mod shares;
 
+pub use distribution::Distribution;
 pub use driver::{Config, Driver};
 pub use events::{Call, Event, Handle, Reply, SessionId};
 pub use ledger::{Command, Ledger, StoredManifest};
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 mod host;
 mod manifest;
 mod messages;
+mod packed;
 mod view;
 
 pub use group::{GroupChange, GroupMember, GroupRecord};
@@ -20,6 +21,7 @@
     ControlGossip, ControlMessage, ENTRY_SESSION_PATH, EntryMessage, EntryStatus, LOG_SESSION_PATH,
     LogMessage,
 };
+pub use packed::{PackedManifest, UnpackError};
 pub use view::{Replica, RoutingView};
 
 /// The name of a group of hosts, unique across all terms of leadership.
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -1,11 +1,11 @@
 //! Messages between control processes, and between entries and control.
 
-use crate::{GroupName, Manifest, RoutingView};
+use crate::{GroupName, PackedManifest, RoutingView};
 use model::ids::{ControlId, CulpritId, DomainId, EntryId, ModelId, RequestDigest};
 use quarantine::Observation;
 use replog::Envelope;
 use serde::{Deserialize, Serialize};
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 /// The path of sessions between control processes.
 pub const LOG_SESSION_PATH: &str = "/control/log";
@@ -61,12 +61,15 @@
     pub progressing: Vec<GroupName>,
     /// Groups whose head has made no progress although it has requests to run.
     pub stalled: Vec<GroupName>,
+    /// The number of the manifest that it holds.
+    pub manifest: Option<u64>,
 }
 
 /// A message from an entry to control.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum EntryMessage {
-    /// The periodic status report of the entry.
+    /// The status of the entry: the first message of a session, then sent periodically and after
+    /// each manifest.
     Status(EntryStatus),
     /// Observations of the entry that this session has not sent yet.
     Evidence(Vec<Observation>),
@@ -83,7 +86,7 @@
         control_addresses: Vec<SocketAddr>,
     },
     /// The manifest in force.
-    Manifest(Arc<Manifest>),
+    Manifest(PackedManifest),
     /// The routing view.
     View(RoutingView),
     /// The entry's share of the slots of each backend server, between 0 and 1.
--- a/crates/gateway/src/control_client.rs
+++ b/crates/gateway/src/control_client.rs
@@ -5,7 +5,7 @@
 use async_io::Timer;
 use base::{secret::Secret, sync::lock};
 use fleet::{ControlMessage, ENTRY_SESSION_PATH, EntryMessage};
-use log::info;
+use log::{info, warn};
 use model::ids::CulpritId;
 use net::{Pool, with_timeout};
 use peer::{ByteCount, Session, open};
@@ -139,6 +139,10 @@
                         info!("event=control_found control={to}");
                         is_leader = true;
                     }
+                    if matches!(message, ControlMessage::Manifest(_)) {
+                        // Confirms the manifest at once.
+                        next_status_at = last_contact;
+                    }
                     self.handle_message(message);
                 }
             }
@@ -151,7 +155,12 @@
 
     fn handle_message(&mut self, message: ControlMessage) {
         match message {
-            ControlMessage::Manifest(manifest) => self.state.set_manifest(manifest),
+            ControlMessage::Manifest(packed) => match packed.unpack() {
+                Ok(manifest) => self.state.set_manifest(Arc::new(manifest)),
+                Err(e) => {
+                    warn!("event=manifest_unreadable number={} cause=\"{e}\"", packed.number());
+                }
+            },
             ControlMessage::View(view) => {
                 self.metrics.view_replicas.set(view.replicas.len() as i64);
                 info!("event=view replicas={} entries={}", view.replicas.len(), view.entries.len());
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -37,7 +37,7 @@
 const RETRY_BUDGET_FACTOR: f64 = 0.7;
 
 /// The state that the tasks of an entry share. Each lock is held for one call, and no two at once,
-/// except that `status` reads `view_received_at` and `shutdown` while it holds `backends`.
+/// except that `status` reads `view_received_at`, `table` and `shutdown` while it holds `backends`.
 pub struct GatewayState {
     /// The entry's name.
     pub name: EntryId,
@@ -95,6 +95,11 @@
         lock(&self.table).clone()
     }
 
+    /// The number of the current manifest.
+    fn manifest_number(&self) -> Option<u64> {
+        lock(&self.table).as_ref().map(|table| table.manifest().number)
+    }
+
     /// The addresses of the entries that accept callers.
     pub fn directory(&self) -> Vec<SocketAddr> {
         lock(&self.directory).clone()
@@ -102,7 +107,8 @@
 
     /// Whether this entry accepts callers.
     pub fn is_ready(&self) -> bool {
-        lock(&self.view_received_at).is_some() && !self.is_leaving()
+        let has_view = lock(&self.view_received_at).is_some();
+        has_view && self.manifest_number().is_some() && !self.is_leaving()
     }
 
     /// Whether the process is shutting down.
@@ -144,9 +150,7 @@
         self.has_complete_view.store(view.is_complete, Ordering::Release);
         *lock(&self.directory) = view.entries.clone();
         lock(&self.backends).set_view(view, self.clock.now());
-        if lock(&self.table).is_some() {
-            *lock(&self.view_received_at) = Some(self.clock.now());
-        }
+        *lock(&self.view_received_at) = Some(self.clock.now());
     }
 
     /// Sets this entry's share of the slots at the backend servers.
@@ -193,6 +197,7 @@
             forwarded: self.forwarded.load(Ordering::Relaxed),
             progressing: backends.progressing(PROGRESS_WINDOW, now),
             stalled: backends.stalled(STALLED_AFTER, now),
+            manifest: self.manifest_number(),
         }
     }
 
