Replicate a manifest once, however often its operator sends it

An operator who gets no answer within a second sends the change again, to any process. Each repeat was appended to the log, 0.7 MB for 4,000 routes, and sent to every follower, also when the manifest was in force already or on its way: the slower control is, the more it is given to do. A manifest that isn't newer than the one in force now only waits until the entries hold it, and repeats of one that is on its way wait for that one. Both are safe: a leader with the lease has all committed changes, and a leader that steps down answers nobody.

--- a/crates/coordinator/src/driver.rs
+++ b/crates/coordinator/src/driver.rs
@@ -7,7 +7,7 @@
     Orders,
     events::{Call, Event, Handle, Reply, SessionId},
     leader::LeaderState,
-    ledger::{Command, Ledger},
+    ledger::{Command, Ledger, StoredManifest},
     metrics::Counters,
 };
 use async_channel::Sender;
@@ -24,9 +24,9 @@
 use net::Pool;
 use peer::Links;
 use quarantine::QuarantineChange;
-use replog::{Entry, Index, Node, Payload, Role, Timing, Tolerance};
+use replog::{Entry as LogEntry, Index, Node, Payload, Role, Timing, Tolerance};
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, btree_map::Entry},
     net::SocketAddr,
     sync::{Arc, mpsc::Receiver},
     time::{Duration, Instant},
@@ -234,6 +234,7 @@
             return;
         }
         match call {
+            Call::Change(Command::Manifest(stored)) => self.change_manifest(stored, reply),
             Call::Change(command) => self.propose(&command, Some(reply)),
             Call::ReadManifest => {
                 let answer = match &self.ledger.manifest {
@@ -247,6 +248,27 @@
         }
     }
 
+    /// Proposes a manifest, unless it changes nothing or is already on its way into the log.
+    fn change_manifest(&mut self, stored: Box<StoredManifest>, reply: Sender<Reply>) {
+        let number = stored.manifest.number;
+        if self.ledger.manifest.is_some() && number <= self.ledger.number() {
+            self.reply_after_manifest(reply);
+            return;
+        }
+        if let Some(leader) = &mut self.leader_state {
+            match leader.proposed_manifests.entry(number) {
+                Entry::Occupied(mut waiting) => {
+                    waiting.get_mut().push(reply);
+                    return;
+                }
+                Entry::Vacant(proposed) => {
+                    proposed.insert(Vec::new());
+                }
+            }
+        }
+        self.propose(&Command::Manifest(stored), Some(reply));
+    }
+
     /// Returns the latest introduction of the leader, if another known process leads.
     pub(crate) fn leader(&self) -> Option<&ControlGossip> {
         let leader = self.log.node.leader()?;
@@ -283,8 +305,8 @@
         Ok(())
     }
 
-    fn apply(&mut self, entry: Entry) {
-        let Entry { index, term, payload } = entry;
+    fn apply(&mut self, entry: LogEntry) {
+        let LogEntry { index, term, payload } = entry;
         let mut is_manifest = false;
         match payload {
             Payload::Data(bytes) => is_manifest = self.apply_command(index, &bytes),
@@ -333,6 +355,9 @@
                 if manifest_changed {
                     self.publish_manifest();
                 }
+                if is_manifest {
+                    self.resolve_proposed_manifests();
+                }
             }
             Err(e) => {
                 self.ledger.applied = index;
--- a/crates/coordinator/src/leader/mod.rs
+++ b/crates/coordinator/src/leader/mod.rs
@@ -80,6 +80,9 @@
     resumes: bool,
     /// Calls to be answered once the resulting view has been sent.
     replies_after_view: Vec<Sender<Reply>>,
+    /// The manifests that this leader has proposed and that aren't applied yet, by number, with
+    /// the repeated calls for each.
+    pub(crate) proposed_manifests: BTreeMap<u64, Vec<Sender<Reply>>>,
     /// Calls to be answered once the entries hold the manifest.
     replies_after_manifest: Vec<Sender<Reply>>,
 }
@@ -142,6 +145,7 @@
             changed: true,
             has_traffic: false,
             replies_after_view: Vec::new(),
+            proposed_manifests: BTreeMap::new(),
             replies_after_manifest: Vec::new(),
         });
         self.publish_manifest();
@@ -224,6 +228,16 @@
         }
     }
 
+    /// Takes up the repeated calls for manifests that are now in force or overtaken.
+    pub(crate) fn resolve_proposed_manifests(&mut self) {
+        let number = self.ledger.number();
+        if let Some(leader) = &mut self.leader_state {
+            let later = leader.proposed_manifests.split_off(&(number + 1));
+            let applied = std::mem::replace(&mut leader.proposed_manifests, later);
+            leader.replies_after_manifest.extend(applied.into_values().flatten());
+        }
+    }
+
     /// Answers the caller of an applied change once the resulting view has been sent.
     pub(crate) fn reply_after_view(&mut self, reply: Sender<Reply>) {
         match &mut self.leader_state {
