Compress large records, and send them to a quorum first

Cause: the record holds the submitted text and the decoded routes, 0.7 MB for 4,000 routes, and goes to five followers at once; at 0.075 of a core that takes longer than an election timeout, and the heartbeats wait behind it.

Commands over 4 kB are compressed in the log; records of earlier versions are still read. A leader sends entries of over 64 kB to two followers at a time, voters first, and heartbeats without entries to the others meanwhile; a follower that doesn't acknowledge counts for ten heartbeats. Bytes are encoded as byte strings, which writes the same bytes in one step. The time in which no heartbeat arrives is now bounded by the size of two transfers, not by the number of followers.

--- a/crates/coordinator/src/distribution.rs
+++ b/crates/coordinator/src/distribution.rs
@@ -12,7 +12,7 @@
 
 /// Bytes of manifests that may be on their way to entries at the same time. One manifest may be,
 /// whatever its size.
-const MAX_BYTES_IN_TRANSIT: usize = 128 << 10;
+const MAX_BYTES_IN_TRANSIT: usize = 256 << 10;
 /// Time after which an entry that hasn't confirmed a manifest no longer holds up others.
 const TRANSIT_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Time without a report after which a change isn't held up by an entry: a few report intervals.
--- a/crates/coordinator/src/driver.rs
+++ b/crates/coordinator/src/driver.rs
@@ -15,7 +15,7 @@
     clock::Clock,
     limits::{ELECTION_MAX, ELECTION_MIN, LEADER_LEASE, LOG_HEARTBEAT},
 };
-use durable::{DurableLog, decode, decode_state, encode, receive_batch};
+use durable::{DurableLog, decode_state, encode, receive_batch};
 use fastrand::Rng;
 use fleet::{ControlGossip, ControlMessage, GroupChange, LogMessage};
 use groups::Limits;
@@ -276,7 +276,7 @@
     }
 
     pub(crate) fn propose(&mut self, command: &Command, reply: Option<Sender<Reply>>) {
-        if let Err(reply) = self.log.propose(encode(command), reply) {
+        if let Err(reply) = self.log.propose(command.encode(), reply) {
             send_reply(reply, Reply::NotLeader(None));
         }
     }
@@ -334,7 +334,7 @@
     /// Applies a command, and returns whether it is a manifest.
     fn apply_command(&mut self, index: Index, bytes: &[u8]) -> bool {
         let mut is_manifest = false;
-        match decode(bytes) {
+        match Command::decode(bytes) {
             Ok(command) => {
                 is_manifest = matches!(command, Command::Manifest(_));
                 let formed_group = match &command {
@@ -416,5 +416,6 @@
         Command::Quarantine(QuarantineChange::Begin(_)) => "quarantine_begun",
         Command::Quarantine(QuarantineChange::End(_)) => "quarantine_ended",
         Command::Quarantine(QuarantineChange::Forget(_)) => "quarantine_forgotten",
+        Command::Compressed(_) => "compressed",
     }
 }
--- a/crates/coordinator/src/ledger.rs
+++ b/crates/coordinator/src/ledger.rs
@@ -1,22 +1,35 @@
 //! The replicated state: the current manifest, the failure domains out of service, and
 //! the groups.
 
+use bincode::error::DecodeError;
+use durable::{decode, encode};
 use fleet::{GroupChange, GroupName, GroupRecord, Manifest};
+use lz4_flex::block::{DecompressError, compress_prepend_size, decompress_size_prepended};
 use model::ids::{DomainId, HostId};
 use quarantine::{QuarantineChange, QuarantineRecords};
 use serde::{Deserialize, Deserializer, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use serde_with::{Bytes, serde_as};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+};
+
+/// Size of an encoded command, in bytes, above which it is compressed.
+const MIN_COMPRESSED_BYTES: usize = 4 << 10;
 
 /// A manifest, both as submitted and decoded.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct StoredManifest {
     /// The submitted bytes, returned to operators who read the manifest.
+    #[serde_as(as = "Bytes")]
     pub body: Vec<u8>,
     /// The decoded manifest.
     pub manifest: Manifest,
 }
 
 /// A change of the replicated state.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Command {
     /// Replaces the current manifest, unless its number is the same or higher.
@@ -29,6 +42,53 @@
     Group(GroupChange),
     /// Changes the prompt parts and requests in quarantine.
     Quarantine(QuarantineChange),
+    /// An encoded command, compressed.
+    Compressed(#[serde_as(as = "Bytes")] Vec<u8>),
+}
+
+/// The error from decoding a command.
+#[derive(Debug)]
+pub enum CommandError {
+    /// It can't be decompressed.
+    Compression(DecompressError),
+    /// It is not a command, or one of a later version.
+    Encoding(DecodeError),
+}
+
+impl fmt::Display for CommandError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CommandError::Compression(e) => write!(f, "can't decompress the command: {e}"),
+            CommandError::Encoding(e) => write!(f, "can't decode the command: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for CommandError {}
+
+impl Command {
+    /// Encodes the command for the log, compressed if it is large.
+    pub fn encode(&self) -> Vec<u8> {
+        let data = encode(self);
+        match data.len() > MIN_COMPRESSED_BYTES {
+            true => encode(&Command::Compressed(compress_prepend_size(&data))),
+            false => data,
+        }
+    }
+
+    /// Decodes a command from the log.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the data is not a command.
+    pub fn decode(data: &[u8]) -> Result<Command, CommandError> {
+        let mut command = decode(data).map_err(CommandError::Encoding)?;
+        while let Command::Compressed(data) = command {
+            let data = decompress_size_prepended(&data).map_err(CommandError::Compression)?;
+            command = decode(&data).map_err(CommandError::Encoding)?;
+        }
+        Ok(command)
+    }
 }
 
 /// The state that the log replicates.
@@ -84,6 +144,8 @@
                 self.groups.remove(&name);
             }
             Command::Quarantine(change) => self.quarantine.apply(index, change),
+            // `Command::decode` returns what it contains.
+            Command::Compressed(_) => {}
         }
         false
     }
--- a/crates/coordinator/tests/distribution.rs
+++ b/crates/coordinator/tests/distribution.rs
@@ -7,7 +7,7 @@
 const ENTRIES: SessionId = 34;
 /// A manifest of thousands of routes.
 const LARGE: usize = 300_000;
-const SMALL: usize = 10_000;
+const SMALL: usize = 20_000;
 
 fn distribution(size: usize, held: Option<u64>, now: Instant) -> Distribution {
     let mut distribution = Distribution::default();
--- a/crates/coordinator/tests/ledger.rs
+++ b/crates/coordinator/tests/ledger.rs
@@ -113,3 +113,28 @@
     expect_that!(again, eq(&ledger));
     expect_true!(again.quarantine.is_in_quarantine(0xdead));
 }
+
+/// Guards against records of thousands of routes that delay the leader's heartbeats.
+#[gtest]
+fn encode_large_manifest() {
+    let body: String =
+        (0..4000).map(|n| format!("{{\"name\":\"r-{n}\",\"prefix\":\"/{n}/\"}}")).collect();
+    let command = manifest(5, &body);
+    let data = command.encode();
+    expect_that!(data.len(), lt(body.len() / 2));
+    expect_that!(Command::decode(&data).expect("a command"), eq(&command));
+}
+
+/// Guards against records of earlier versions, which were not compressed, that can't be read.
+#[gtest]
+fn decode_uncompressed_manifest() {
+    let command = manifest(5, &"x".repeat(100_000));
+    expect_that!(Command::decode(&durable::encode(&command)).expect("a command"), eq(&command));
+}
+
+#[gtest]
+fn decode_damaged_command() {
+    let mut data = manifest(5, &"x".repeat(100_000)).encode();
+    data.truncate(data.len() / 2);
+    expect_true!(Command::decode(&data).is_err());
+}
--- a/crates/replog/src/log.rs
+++ b/crates/replog/src/log.rs
@@ -2,6 +2,7 @@
 
 use crate::{Index, NodeId, Term};
 use serde::{Deserialize, Serialize};
+use serde_with::{Bytes, serde_as};
 use std::collections::BTreeSet;
 
 /// The voting members of a configuration.
@@ -19,12 +20,13 @@
 }
 
 /// The content of a log entry.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Payload {
     /// No content. A new leader appends one such entry, which commits the entries before it.
     Empty,
     /// An application command.
-    Data(Vec<u8>),
+    Data(#[serde_as(as = "Bytes")] Vec<u8>),
     /// A new set of voters, effective as soon as the entry is appended, before it commits.
     Voters(Voters),
 }
@@ -41,6 +43,7 @@
 }
 
 /// The application state up to an index, which replaces the entries up to it.
+#[serde_as]
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
     /// The index of the last entry included.
@@ -50,6 +53,7 @@
     /// The voters as of that entry.
     pub voters: Voters,
     /// The serialized application state.
+    #[serde_as(as = "Bytes")]
     pub data: Vec<u8>,
 }
 
@@ -86,20 +90,22 @@
         self.entries.get(usize::try_from(offset).ok()?)
     }
 
-    /// The entries from `index` on, limited to about `max_bytes` but at least one if any exists.
-    pub(crate) fn entries_from(&self, index: Index, max_bytes: usize) -> Vec<Entry> {
+    /// The entries from `index` on, limited to about `max_bytes` but at least one if any exists,
+    /// and their size in bytes.
+    pub(crate) fn entries_from(&self, index: Index, max_bytes: usize) -> (Vec<Entry>, usize) {
         let mut entries = Vec::new();
         let mut bytes = 0;
         let mut index = index;
         while let Some(entry) = self.get(index) {
-            bytes += entry.payload.size();
-            if bytes > max_bytes && !entries.is_empty() {
+            let size = entry.payload.size();
+            if bytes + size > max_bytes && !entries.is_empty() {
                 break;
             }
+            bytes += size;
             entries.push(entry.clone());
             index += 1;
         }
-        entries
+        (entries, bytes)
     }
 
     pub(crate) fn push(&mut self, entry: Entry) {
--- a/crates/replog/src/node.rs
+++ b/crates/replog/src/node.rs
@@ -122,6 +122,8 @@
     pub last_contact: Instant,
     /// When a snapshot was sent, until the node acknowledges it.
     pub(crate) snapshot_sent: Option<Instant>,
+    /// The last index of the latest large message, and the heartbeat round in which it was sent.
+    pub(crate) large_sent: Option<(Index, u64)>,
 }
 
 /// A node of the replicated log.
--- a/crates/replog/src/replication.rs
+++ b/crates/replog/src/replication.rs
@@ -11,12 +11,35 @@
 /// The approximate limit on the bytes of entries in one message.
 const MAX_APPEND_BYTES: usize = 1 << 20;
 
+/// Size of the entries of a message, in bytes, above which it counts as large: it delays the
+/// heartbeats that follow it.
+const LARGE_APPEND_BYTES: usize = 64 << 10;
+/// How many followers may be sent a large message at the same time. With two, a quorum of five
+/// voters has it first.
+const MAX_LARGE_APPENDS: usize = 2;
+/// Heartbeat rounds after which a large message that is not acknowledged no longer counts.
+const LARGE_APPEND_ROUNDS: u64 = 10;
+
 /// How many recent heartbeat rounds the leader keeps the start times of.
 const MAX_ROUND_STARTS: usize = 256;
 
 impl Progress {
     pub(crate) fn new(next: Index, now: Instant, acked_round_start: Instant) -> Progress {
-        Progress { matched: 0, next, acked_round_start, last_contact: now, snapshot_sent: None }
+        Progress {
+            matched: 0,
+            next,
+            acked_round_start,
+            last_contact: now,
+            snapshot_sent: None,
+            large_sent: None,
+        }
+    }
+
+    /// Whether a large message is on its way to the node in heartbeat round `round`.
+    fn awaits_large(&self, round: u64) -> bool {
+        self.large_sent.is_some_and(|(index, sent_in)| {
+            self.matched < index && round.saturating_sub(sent_in) < LARGE_APPEND_ROUNDS
+        })
     }
 }
 
@@ -46,12 +69,14 @@
     /// Sends new entries to the followers, except those waiting for a snapshot.
     pub(crate) fn replicate(&mut self) {
         let last = self.log.last_index();
-        let behind: Vec<NodeId> = self
+        let mut behind: Vec<NodeId> = self
             .progress
             .iter()
             .filter(|(_, progress)| progress.next <= last && progress.snapshot_sent.is_none())
             .map(|(id, _)| *id)
             .collect();
+        // Voters first, as an entry commits once a quorum of them has it.
+        behind.sort_by_key(|id| !self.voters.contains(id));
         for id in behind {
             self.send_append(id, false, self.elected_at);
         }
@@ -69,9 +94,19 @@
             }
             return;
         };
-        let entries = self.log.entries_from(progress.next, MAX_APPEND_BYTES);
+        let (mut entries, bytes) = self.log.entries_from(progress.next, MAX_APPEND_BYTES);
+        let is_large = bytes > LARGE_APPEND_BYTES;
+        if is_large && self.large_appends(to) >= MAX_LARGE_APPENDS {
+            if !heartbeat {
+                return;
+            }
+            entries.clear();
+        }
         if let (Some(last), Some(progress)) = (entries.last(), self.progress.get_mut(&to)) {
             progress.next = last.index + 1;
+            if is_large {
+                progress.large_sent = Some((last.index, round));
+            }
         }
         self.send(
             to,
@@ -79,6 +114,12 @@
         );
     }
 
+    /// The number of other nodes that a large message is on its way to.
+    fn large_appends(&self, to: NodeId) -> usize {
+        let others = self.progress.iter().filter(|(id, _)| **id != to);
+        others.filter(|(_, progress)| progress.awaits_large(self.round)).count()
+    }
+
     fn send_snapshot(&mut self, to: NodeId, now: Instant) {
         let resend_after = self.timing.election_max;
         let Some(progress) = self.progress.get_mut(&to) else {
--- a/crates/replog/tests/random/main.rs
+++ b/crates/replog/tests/random/main.rs
@@ -43,7 +43,7 @@
     vec(fault, 0..60)
 }
 
-fn run_cases(voters: usize, nodes: usize) -> (u32, u64) {
+fn run_cases(voters: usize, nodes: usize, large_proposals: bool) -> (u32, u64) {
     let config = Config { cases: cases(), failure_persistence: None, ..Config::default() };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
     let mut runner = TestRunner::new_with_rng(config, rng);
@@ -64,6 +64,7 @@
             seed,
             loss_percent,
             proposals_per_mille,
+            large_proposals,
             faults,
         };
         steps.set(steps.get() + World::run(plan));
@@ -77,18 +78,25 @@
 
 #[googletest::test]
 fn log_three_voters_random_faults() {
-    let (cases, steps) = run_cases(3, 4);
+    let (cases, steps) = run_cases(3, 4, false);
     println!("3 voters: {cases} cases, {steps} steps");
     expect_that!(steps, gt(0));
 }
 
 #[googletest::test]
 fn log_five_voters_random_faults() {
-    let (cases, steps) = run_cases(5, 6);
+    let (cases, steps) = run_cases(5, 6, false);
     println!("5 voters: {cases} cases, {steps} steps");
     expect_that!(steps, gt(0));
 }
 
+#[googletest::test]
+fn log_large_proposals_random_faults() {
+    let (cases, steps) = run_cases(5, 6, true);
+    println!("5 voters, large proposals: {cases} cases, {steps} steps");
+    expect_that!(steps, gt(0));
+}
+
 /// A plan whose only faults are `faults`, on a new log with three voters that must tolerate the
 /// loss of `tolerated` nodes or one failure domain.
 fn plan_of_losses(nodes: usize, domains: usize, tolerated: usize, faults: Vec<Fault>) -> Plan {
@@ -103,6 +111,7 @@
         seed: 1,
         loss_percent: 0,
         proposals_per_mille: 100,
+        large_proposals: false,
         faults,
     }
 }
--- a/crates/replog/tests/random/world.rs
+++ b/crates/replog/tests/random/world.rs
@@ -16,6 +16,9 @@
 const FAULTS_END_MS: u64 = 24_000;
 const RUN_MS: u64 = 34_000;
 const COMPACT_AFTER: u64 = 40;
+const IDENTITY_BYTES: usize = size_of::<u64>();
+const LARGE_PROPOSALS_PER_256: u8 = 32;
+const LARGE_PROPOSAL_BYTES: usize = 70_000;
 /// The maximum difference between the clock rates of two nodes, in thousandths.
 const CLOCK_DRIFT_PER_MILLE: u64 = 40;
 
@@ -98,6 +101,8 @@
     pub leader_within_ms: Option<u64>,
     pub loss_percent: u32,
     pub proposals_per_mille: u32,
+    /// Whether some of the proposals are large, so that they are sent to few followers at a time.
+    pub large_proposals: bool,
     pub faults: Vec<Fault>,
 }
 
@@ -291,7 +296,10 @@
     fn run_node(&mut self, number: usize) {
         let now = self.clock(number);
         let propose = self.rng.u32(..1000) < self.plan.proposals_per_mille;
-        let value = self.rng.u64(..).to_le_bytes().to_vec();
+        let mut value = self.rng.u64(..).to_le_bytes().to_vec();
+        if self.plan.large_proposals && value[0] < LARGE_PROPOSALS_PER_256 {
+            value.resize(LARGE_PROPOSAL_BYTES, 0);
+        }
         let node = self.hosts[number].node.as_mut().expect("a running node");
         node.tick(now);
         if propose && node.holds_lease(now) {
@@ -361,7 +369,8 @@
         let host = &mut self.hosts[number];
         let last = host.applied.last().map_or(0, |(index, _)| *index);
         assert!(entry.index > last, "entry {} applied after {last}", entry.index);
-        host.applied.push((entry.index, value));
+        // A snapshot holds the part of each value that identifies it.
+        host.applied.push((entry.index, value[..IDENTITY_BYTES].to_vec()));
         // A leader would acknowledge the entry to its client here, so it must never be lost.
         if host.node.as_ref().is_some_and(|node| node.role() == Role::Leader) {
             self.acknowledged.insert(entry.index);
