Send nothing more to a backend server that says it is leaving

Requests still reached a backend server after it had said that it leaves.

The dialect now parses what a server says of itself into a notice; admission keeps it by host and incarnation, across changes of group and a short absence from the view, and asks it before each attempt: first ones, retries and resumed streams all pass through choose. A start with a new incarnation, which the view now names, ends it; a late answer of an earlier one doesn't.

--- a/crates/admission/src/backends.rs
+++ b/crates/admission/src/backends.rs
@@ -1,6 +1,10 @@
 //! Selection of a backend server for a request, and the requests that this entry runs on each one.
 
-use crate::{cold::ColdLimiter, demand::Demand};
+use crate::{
+    cold::ColdLimiter,
+    demand::Demand,
+    notices::{Notice, Notices},
+};
 use fleet::{Engine, GroupName, Manifest, Replica, RoutingView};
 use model::ids::{DomainId, HostId, ModelId, ServiceId};
 use std::{
@@ -98,6 +102,7 @@
     /// Rate limits of cold hosts. They outlive a change of group and a short absence from the
     /// view, so that neither resets the limit.
     cold: BTreeMap<HostId, ColdLimiter>,
+    notices: Notices,
     /// Number of entries that share the backend servers, including this one.
     entries: usize,
     /// This entry's share of the slots, once control has assigned one.
@@ -136,6 +141,7 @@
         let hosts: BTreeSet<HostId> = view.replicas.iter().map(|r| r.host.clone()).collect();
         self.by_host.retain(|host, _| hosts.contains(host));
         self.cold.retain(|host, limiter| hosts.contains(host) || !limiter.is_expired(now));
+        self.notices.set_view(&view.replicas, now);
         for replica in view.replicas {
             let cold_until = now + replica.cold_remaining;
             match self.by_host.get_mut(&replica.host) {
@@ -187,7 +193,8 @@
             }
             offered = true;
             let cold = backend.cold_until > now;
-            if backend.avoid_until.is_some_and(|until| until > now)
+            if !self.notices.permits(&backend.replica)
+                || backend.avoid_until.is_some_and(|until| until > now)
                 || (cold && !cold_limit_allows(&backend.replica.host))
                 || !backend.has_free_slot(service.engine.as_ref(), share)
             {
@@ -289,6 +296,12 @@
         }
     }
 
+    /// Records what a backend server said of itself in a response. `replica` is the view's entry
+    /// for it at the time of the request. Returns whether the notice was news.
+    pub fn record_notice(&mut self, replica: &Replica, notice: &Notice, now: Instant) -> bool {
+        self.notices.record(replica, notice, now)
+    }
+
     /// Skips a backend server for `UNREACHABLE_BACKOFF`, because it could not be reached.
     pub fn mark_unreachable(&mut self, host: &HostId, now: Instant) {
         self.avoid(host, now + UNREACHABLE_BACKOFF);
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -6,10 +6,12 @@
 mod budget;
 mod cold;
 mod demand;
+mod notices;
 mod shutdown;
 mod table;
 
 pub use backends::{Backends, Choice, Refused, Requirements, SlotId};
 pub use budget::RetryBudget;
+pub use notices::Notice;
 pub use shutdown::Shutdown;
 pub use table::{KeyCheck, RouteTable};
--- a/crates/admission/tests/backends.rs
+++ b/crates/admission/tests/backends.rs
@@ -2,7 +2,7 @@
 
 mod sample;
 
-use admission::{Backends, Refused, Requirements};
+use admission::{Backends, Notice, Refused, Requirements};
 use fleet::{Replica, RoutingView};
 use googletest::prelude::*;
 use sample::manifest;
@@ -16,6 +16,7 @@
 fn replica(host: &str, domain: &str, group: Option<(&str, &str)>) -> Replica {
     Replica {
         host: host.into(),
+        incarnation: 1,
         service: if group.is_some() { "engines".into() } else { "ledger".into() },
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9000)),
         domain: domain.into(),
@@ -287,3 +288,27 @@
         }
     }
 }
+
+/// Guards against requests to a server that is leaving, after it was absent from the view or has
+/// joined another group.
+#[gtest]
+fn choose_passes_over_a_leaving_server_until_it_starts_again() {
+    let now = Instant::now();
+    let leaving = replica("a", "near", Some(("g1", "large")));
+    let mut backends = backends(vec![leaving.clone()], 1, 0.0, now);
+    let notice = Notice { leaving: true };
+    expect_true!(backends.record_notice(&leaving, &notice, now));
+    expect_false!(backends.record_notice(&leaving, &notice, now));
+    // A response to an earlier request may arrive later.
+    backends.record_notice(&leaving, &Notice::default(), now);
+    expect_true!(backends.choose(&requirements(&[]), now).is_err());
+    backends.set_view(view(vec![], 1), now);
+    backends.set_view(view(vec![replica("a", "near", Some(("g2", "large")))], 1), now);
+    expect_true!(backends.choose(&requirements(&[]), now).is_err());
+    let again = Replica { incarnation: 2, ..leaving.clone() };
+    backends.set_view(view(vec![again], 1), now);
+    expect_true!(backends.choose(&requirements(&[]), now).is_ok());
+    // A late response of the earlier incarnation.
+    backends.record_notice(&leaving, &notice, now);
+    expect_true!(backends.choose(&requirements(&[]), now).is_ok());
+}
--- a/crates/admission/tests/random.rs
+++ b/crates/admission/tests/random.rs
@@ -82,6 +82,7 @@
             let avoid_until = old.map_or(self.now, |expected| expected.avoid_until);
             replicas.push(Replica {
                 host: host.clone(),
+                incarnation: 1,
                 service: "engines".into(),
                 address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9000 + number)),
                 domain: format!("d{}", number % 3).into(),
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -1,6 +1,6 @@
 //! The routing view: the backend servers that entries may send requests to.
 
-use crate::GroupName;
+use crate::{GroupName, Incarnation};
 use model::ids::{DomainId, HostId, ModelId, ServiceId};
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, time::Duration};
@@ -27,6 +27,7 @@
     pub fn same_routes(&self, other: &RoutingView) -> bool {
         let same = |(a, b): (&Replica, &Replica)| {
             a.host == b.host
+                && a.incarnation == b.incarnation
                 && a.address == b.address
                 && a.group == b.group
                 && a.cold_remaining.is_zero() == b.cold_remaining.is_zero()
@@ -46,6 +47,8 @@
 pub struct Replica {
     /// The host.
     pub host: HostId,
+    /// The incarnation of the backend server.
+    pub incarnation: Incarnation,
     /// The service.
     pub service: ServiceId,
     /// The address on which it takes requests.
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -1,6 +1,7 @@
 //! The interface to the headers of requests and responses, which the program defines.
 
 use crate::refusal::Refusal;
+use admission::Notice;
 use http::Body;
 use hyper::{HeaderMap, Response, StatusCode};
 use model::ids::{HostId, ModelId, PromptPartId, TeamId};
@@ -74,6 +75,9 @@
         is_first: bool,
     ) -> ResponseKind;
 
+    /// Parses what a backend server says of itself in the headers of a response.
+    fn parse_notice(&self, headers: &HeaderMap) -> Notice;
+
     /// Builds the response to a request that is refused or has failed.
     fn refusal_response(&self, refusal: &Refusal, id: &str) -> Response<Body>;
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -11,7 +11,7 @@
 use async_io::Timer;
 use base::{limits::RESPONSES_MAX, sync::lock};
 use bytes::Bytes;
-use fleet::{Route, RouteKind};
+use fleet::{Replica, Route, RouteKind};
 use futures_lite::FutureExt;
 use http::{
     Body, BodyError, ByteBudget, Client, ClientError, Connection, Handler, HandlerFuture, Limits,
@@ -433,12 +433,16 @@
                 return Err(AttemptError { verdict: e.verdict(), cause: describe(&e).into() });
             }
         };
-        match self.dialect.classify_response(
+        let kind = self.dialect.classify_response(
             response.status(),
             response.headers(),
             &request.info.id,
             !connection.is_reused(),
-        ) {
+        );
+        if matches!(kind, ResponseKind::Own | ResponseKind::NotRun) {
+            self.record_notice(request, &replica, response.headers());
+        }
+        match kind {
             ResponseKind::Own => {
                 let (address, host) = (replica.address, replica.host);
                 Ok(BackendResponse { response, connection, address, host, slot })
@@ -463,6 +467,19 @@
         }
     }
 
+    /// Records what a backend server says of itself in the headers of a response.
+    fn record_notice(&self, request: &ProxyRequest, replica: &Replica, headers: &HeaderMap) {
+        let notice = self.dialect.parse_notice(headers);
+        let is_news =
+            lock(&self.state.backends).record_notice(replica, &notice, self.state.clock.now());
+        if is_news {
+            info!(
+                "event=server_notice id={} host={} leaving={}",
+                request.info.id, replica.host, notice.leaving
+            );
+        }
+    }
+
     /// Records that a backend server closed the connection of a request, and whether it still runs.
     pub(crate) async fn record_broken(
         &self,
--- a/crates/groups/src/view.rs
+++ b/crates/groups/src/view.rs
@@ -52,6 +52,7 @@
 fn replica_of(status: &HostStatus, now: Instant) -> Replica {
     Replica {
         host: status.report.host.clone(),
+        incarnation: status.report.incarnation,
         service: status.report.service.clone(),
         address: status.report.address,
         domain: status.report.domain.clone(),
