Send nothing to a server for as long as its 503 says

The time is now part of the server's notice, at most five minutes; the longest one holds. If all servers are closed, callers are told to come back when the first of them opens.

--- a/crates/admission/src/backends.rs
+++ b/crates/admission/src/backends.rs
@@ -3,7 +3,7 @@
 use crate::{
     cold::ColdLimiter,
     demand::Demand,
-    notices::{Notice, Notices},
+    notices::{Notice, Notices, Permit},
 };
 use fleet::{Engine, GroupName, Manifest, Replica, RoutingView};
 use model::ids::{DomainId, HostId, ModelId, ServiceId};
@@ -185,6 +185,8 @@
             limiter.allows(cold_per_s, phase, now)
         };
         let mut offered = false;
+        // When the first of the backend servers may be sent a request again.
+        let mut opens_at: Option<Instant> = None;
         let mut best: Option<((f64, u64), HostId)> = None;
         let share = self.share.unwrap_or(1.0 / self.entries as f64);
         for backend in self.by_host.values_mut() {
@@ -192,9 +194,16 @@
                 continue;
             }
             offered = true;
+            match self.notices.permit(&backend.replica, now) {
+                Permit::Now => opens_at = Some(now),
+                Permit::From(at) => {
+                    opens_at = Some(opens_at.map_or(at, |other| other.min(at)));
+                    continue;
+                }
+                Permit::Never => continue,
+            }
             let cold = backend.cold_until > now;
-            if !self.notices.permits(&backend.replica)
-                || backend.avoid_until.is_some_and(|until| until > now)
+            if backend.avoid_until.is_some_and(|until| until > now)
                 || (cold && !cold_limit_allows(&backend.replica.host))
                 || !backend.has_free_slot(service.engine.as_ref(), share)
             {
@@ -215,7 +224,9 @@
         }
         let Some((_, host)) = best else {
             return Err(if offered {
-                Refused::Full(self.retry_after())
+                let closed_for =
+                    opens_at.map_or(Duration::ZERO, |at| at.saturating_duration_since(now));
+                Refused::Full(self.retry_after(closed_for))
             } else {
                 Refused::NoServer
             });
@@ -271,12 +282,13 @@
         self.demand.request_rate(now)
     }
 
-    /// When the next refused caller should retry, spread evenly over the permitted range.
-    fn retry_after(&mut self) -> Duration {
+    /// When the next refused caller should retry, spread evenly over the permitted range, if no
+    /// backend server takes a request for `closed_for`.
+    fn retry_after(&mut self, closed_for: Duration) -> Duration {
         self.refusals = self.refusals.wrapping_add(1);
         // Multiples of the golden ratio modulo 1 are evenly spread for any number of refusals.
         let fraction = (f64::from(self.refusals) * 0.618_033_988_75).fract();
-        MIN_RETRY_AFTER + RETRY_AFTER_SPREAD.mul_f64(fraction)
+        MIN_RETRY_AFTER.max(closed_for) + RETRY_AFTER_SPREAD.mul_f64(fraction)
     }
 
     /// Records that a backend server sent an event of a stream, or an answer.
--- a/crates/admission/tests/backends.rs
+++ b/crates/admission/tests/backends.rs
@@ -296,7 +296,7 @@
     let now = Instant::now();
     let leaving = replica("a", "near", Some(("g1", "large")));
     let mut backends = backends(vec![leaving.clone()], 1, 0.0, now);
-    let notice = Notice { leaving: true };
+    let notice = Notice { leaving: true, ..Notice::default() };
     expect_true!(backends.record_notice(&leaving, &notice, now));
     expect_false!(backends.record_notice(&leaving, &notice, now));
     // A response to an earlier request may arrive later.
@@ -312,3 +312,34 @@
     backends.record_notice(&leaving, &notice, now);
     expect_true!(backends.choose(&requirements(&[]), now).is_ok());
 }
+
+#[gtest]
+fn choose_passes_over_a_closed_server_until_it_opens() {
+    let now = Instant::now();
+    let group = replica("a", "near", Some(("g1", "large")));
+    let mut backends = backends(vec![group.clone()], 1, 0.0, now);
+    let close =
+        |seconds| Notice { closed_for: Some(Duration::from_secs(seconds)), ..Notice::default() };
+    backends.record_notice(&group, &close(5), now);
+    // An answer that was sent earlier doesn't open it.
+    backends.record_notice(&group, &close(2), now);
+    backends.record_notice(&group, &Notice::default(), now);
+    let Err(Refused::Full(after)) = backends.choose(&requirements(&[]), now) else {
+        panic!("it is closed");
+    };
+    expect_that!(after, ge(Duration::from_secs(5)));
+    expect_true!(backends.choose(&requirements(&[]), now + Duration::from_millis(4999)).is_err());
+    expect_true!(backends.choose(&requirements(&[]), now + Duration::from_secs(5)).is_ok());
+}
+
+/// Guards against a time that is added to the clock and overflows.
+#[gtest]
+fn record_notice_closed_for_ever() {
+    let now = Instant::now();
+    let group = replica("a", "near", Some(("g1", "large")));
+    let mut backends = backends(vec![group.clone()], 1, 0.0, now);
+    let notice = Notice { closed_for: Some(Duration::MAX), ..Notice::default() };
+    backends.record_notice(&group, &notice, now);
+    expect_true!(backends.choose(&requirements(&[]), now).is_err());
+    expect_true!(backends.choose(&requirements(&[]), now + Duration::from_secs(600)).is_ok());
+}
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -75,8 +75,8 @@
         is_first: bool,
     ) -> ResponseKind;
 
-    /// Parses what a backend server says of itself in the headers of a response.
-    fn parse_notice(&self, headers: &HeaderMap) -> Notice;
+    /// Parses what a backend server says of itself in the status and headers of a response.
+    fn parse_notice(&self, status: StatusCode, headers: &HeaderMap) -> Notice;
 
     /// Builds the response to a request that is refused or has failed.
     fn refusal_response(&self, refusal: &Refusal, id: &str) -> Response<Body>;
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -440,7 +440,7 @@
             !connection.is_reused(),
         );
         if matches!(kind, ResponseKind::Own | ResponseKind::NotRun) {
-            self.record_notice(request, &replica, response.headers());
+            self.record_notice(request, &replica, &response);
         }
         match kind {
             ResponseKind::Own => {
@@ -467,15 +467,23 @@
         }
     }
 
-    /// Records what a backend server says of itself in the headers of a response.
-    fn record_notice(&self, request: &ProxyRequest, replica: &Replica, headers: &HeaderMap) {
-        let notice = self.dialect.parse_notice(headers);
+    /// Records what a backend server says of itself in a response.
+    fn record_notice(
+        &self,
+        request: &ProxyRequest,
+        replica: &Replica,
+        response: &Response<Incoming>,
+    ) {
+        let notice = self.dialect.parse_notice(response.status(), response.headers());
         let is_news =
             lock(&self.state.backends).record_notice(replica, &notice, self.state.clock.now());
         if is_news {
             info!(
-                "event=server_notice id={} host={} leaving={}",
-                request.info.id, replica.host, notice.leaving
+                "event=server_notice id={} host={} leaving={} closed_ms={}",
+                request.info.id,
+                replica.host,
+                notice.leaving,
+                notice.closed_for.map_or(0, |time| time.as_millis())
             );
         }
     }
