Keep in the log which backend servers have said that they end

A request reached a server long after control had acknowledged that it leaves. Some servers say so once, with a call that they end, and serve on for seconds without reporting. The leader only remembered it; a new leader asked the members of its groups for their state, which says nothing of it, and took the group of such a server for a serving one. Shown in virtual time: the head departs, the leader changes, and the group goes on serving (resume_group_of_a_departed_ head, failed before). That this is what the users saw is inferred, not seen.

--- a/crates/coordinator/src/driver.rs
+++ b/crates/coordinator/src/driver.rs
@@ -416,6 +416,7 @@
         Command::Quarantine(QuarantineChange::Begin(_)) => "quarantine_begun",
         Command::Quarantine(QuarantineChange::End(_)) => "quarantine_ended",
         Command::Quarantine(QuarantineChange::Forget(_)) => "quarantine_forgotten",
+        Command::HostLeft(..) => "host_left",
         Command::Compressed(_) => "compressed",
     }
 }
--- a/crates/coordinator/src/leader/hosts.rs
+++ b/crates/coordinator/src/leader/hosts.rs
@@ -4,6 +4,7 @@
 use crate::{
     driver::Driver,
     events::{Event, Reply},
+    ledger::Command,
 };
 use async_channel::Sender;
 use fleet::{GroupMember, HostReport, HostState, OrderKind};
@@ -91,11 +92,20 @@
             let _ = reply.try_send(Reply::NotLeader(None));
             return;
         };
-        if leader.registry.mark_departed(host) {
-            info!("event=host_left host={host}");
-        }
         leader.changed = true;
-        leader.replies_after_view.push(reply);
+        let known = leader.registry.hosts().get(host).map(|status| status.report.incarnation);
+        let members = self.ledger.groups.values().flat_map(|record| &record.members);
+        let of_member =
+            members.filter(|member| member.host == *host).map(|member| member.incarnation).max();
+        match known.max(of_member) {
+            Some(incarnation) if !self.ledger.departures.contains(host, incarnation) => {
+                info!("event=host_left host={host} incarnation={incarnation}");
+                leader.registry.mark_departed(host, incarnation);
+                // A host says so only once, so a later leader must find it in the log.
+                self.propose(&Command::HostLeft(host.clone(), incarnation), Some(reply));
+            }
+            _ => leader.replies_after_view.push(reply),
+        }
     }
 
     pub(crate) fn handle_order_outcome(&mut self, outcome: &OrderOutcome, now: Instant) {
--- a/crates/coordinator/src/leader/mod.rs
+++ b/crates/coordinator/src/leader/mod.rs
@@ -120,7 +120,7 @@
         self.counters.leads.set(1);
         self.leader_state = Some(LeaderState {
             since: now,
-            registry: Registry::default(),
+            registry: Registry::new(self.ledger.departures.clone()),
             planner: Planner::resume(
                 self.log.node.term(),
                 self.config.limits.clone(),
--- a/crates/coordinator/src/ledger.rs
+++ b/crates/coordinator/src/ledger.rs
@@ -3,7 +3,7 @@
 
 use bincode::error::DecodeError;
 use durable::{decode, encode};
-use fleet::{GroupChange, GroupName, GroupRecord, Manifest};
+use fleet::{Departures, GroupChange, GroupName, GroupRecord, Incarnation, Manifest};
 use lz4_flex::block::{DecompressError, compress_prepend_size, decompress_size_prepended};
 use model::ids::{DomainId, HostId};
 use quarantine::{QuarantineChange, QuarantineRecords};
@@ -42,6 +42,8 @@
     Group(GroupChange),
     /// Changes the prompt parts and requests in quarantine.
     Quarantine(QuarantineChange),
+    /// Records that an incarnation of a host has said that it ends.
+    HostLeft(HostId, Incarnation),
     /// An encoded command, compressed.
     Compressed(#[serde_as(as = "Bytes")] Vec<u8>),
 }
@@ -105,9 +107,12 @@
     /// The prompt parts and requests that are or have been in quarantine.
     #[serde(deserialize_with = "default_at_end")]
     pub quarantine: QuarantineRecords,
+    /// The hosts that have said that they end.
+    #[serde(deserialize_with = "default_at_end")]
+    pub departures: Departures,
 }
 
-/// Reads the last field of a state, which snapshots of earlier versions don't have.
+/// Reads one of the last fields of a state, which snapshots of earlier versions don't have.
 fn default_at_end<'de, D, T>(deserializer: D) -> Result<T, D::Error>
 where
     D: Deserializer<'de>,
@@ -144,6 +149,7 @@
                 self.groups.remove(&name);
             }
             Command::Quarantine(change) => self.quarantine.apply(index, change),
+            Command::HostLeft(host, incarnation) => self.departures.record(host, incarnation),
             // `Command::decode` returns what it contains.
             Command::Compressed(_) => {}
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! The crate `model` holds the corresponding types of the processes that use kingcup's own
 //! formats. Where a type of the same name differs, its doc comment says how.
 
+mod departures;
 mod group;
 mod host;
 mod manifest;
@@ -11,6 +12,7 @@
 mod packed;
 mod view;
 
+pub use departures::Departures;
 pub use group::{GroupChange, GroupMember, GroupRecord};
 pub use host::{HostOrder, HostReport, HostState, MemberState, Membership, OrderKind};
 pub use manifest::{
--- a/crates/groups/src/registry.rs
+++ b/crates/groups/src/registry.rs
@@ -1,7 +1,7 @@
 //! The latest reports of hosts.
 
 use crate::Limits;
-use fleet::{GroupMember, HostReport, HostState};
+use fleet::{Departures, GroupMember, HostReport, HostState, Incarnation};
 use model::ids::{HostId, ServiceId};
 use std::{
     collections::BTreeMap,
@@ -46,9 +46,15 @@
 pub struct Registry {
     hosts: BTreeMap<HostId, HostStatus>,
     by_address: BTreeMap<SocketAddr, HostId>,
+    departures: Departures,
 }
 
 impl Registry {
+    /// Creates a registry that knows which hosts have said that they end.
+    pub fn new(departures: Departures) -> Registry {
+        Registry { departures, ..Registry::default() }
+    }
+
     /// The status of each host.
     pub fn hosts(&self) -> &BTreeMap<HostId, HostStatus> {
         &self.hosts
@@ -58,6 +64,10 @@
     /// of the same host or a later incarnation at the same address is known, or if this
     /// incarnation of the host has departed or was replaced.
     pub fn record_report(&mut self, report: HostReport, now: Instant) -> bool {
+        !self.departures.contains(&report.host, report.incarnation) && self.store(report, now)
+    }
+
+    fn store(&mut self, report: HostReport, now: Instant) -> bool {
         if let Some(status) = self.hosts.get(&report.host) {
             let same_incarnation = status.report.incarnation == report.incarnation;
             let ended = status.replaced || status.departed;
@@ -107,18 +117,22 @@
             last_model: state.last_model,
             membership: state.membership,
         };
-        self.record_report(report, now)
+        let incarnation = report.incarnation;
+        let stored = self.store(report, now);
+        if stored && self.departures.contains(&member.host, incarnation) {
+            self.mark_departed(&member.host, incarnation);
+        }
+        stored
     }
 
-    /// Marks a host that said that it ends; returns whether it was known.
-    pub fn mark_departed(&mut self, host: &str) -> bool {
-        match self.hosts.get_mut(host) {
-            Some(status) => {
-                status.departed = true;
-                status.report.leaving = true;
-                true
-            }
-            None => false,
+    /// Marks an incarnation of a host that said that it ends.
+    pub fn mark_departed(&mut self, host: &HostId, incarnation: Incarnation) {
+        self.departures.record(host.clone(), incarnation);
+        if let Some(status) = self.hosts.get_mut(host)
+            && status.report.incarnation <= incarnation
+        {
+            status.departed = true;
+            status.report.leaving = true;
         }
     }
 
--- a/crates/groups/tests/lifecycle.rs
+++ b/crates/groups/tests/lifecycle.rs
@@ -98,7 +98,7 @@
     let name = group_of(&world, 4);
     // The backend server continues to serve for seconds after it has said that it ends.
     let head = world.members_of(&name)[0].clone();
-    world.registry.mark_departed(&head);
+    world.depart(&head);
     world.run_ms(3000);
     expect_that!(world.serving(), not(contains(eq(&name))));
     expect_that!(world.cluster.violations, is_empty());
@@ -132,7 +132,7 @@
     let members = world.members_of(&name);
     world.cluster.host_mut(&members[0]).expect("a host").busy = true;
     // The member says that it ends and stops reporting, but stays while the head has work.
-    world.registry.mark_departed(&members[2]);
+    world.depart(&members[2]);
     world.cluster.host_mut(&members[2]).expect("a host").reachable = false;
     world.run_ms(8000);
     let head = &world.cluster.hosts()[&members[0]];
@@ -409,3 +409,18 @@
     expect_that!(world.cluster.violations, is_empty());
     expect_false!(world.records.values().any(|record| record.members[0].host == lost));
 }
+
+/// Guards against a group that a new leader keeps although its head has said that it ends.
+#[gtest]
+fn resume_group_of_a_departed_head() {
+    let mut world = World::formed(21);
+    let name = group_of(&world, 4);
+    let head = world.members_of(&name)[0].clone();
+    // It says so once, and continues to serve for seconds.
+    world.depart(&head);
+    world.change_leader();
+    world.query_members();
+    world.run_ms(3000);
+    expect_that!(world.serving(), not(contains(eq(&name))));
+    expect_that!(world.cluster.violations, is_empty());
+}
--- a/crates/groups/tests/random.rs
+++ b/crates/groups/tests/random.rs
@@ -69,7 +69,7 @@
             }
         }
         7 => {
-            world.registry.mark_departed(&id);
+            world.depart(&id);
         }
         8 => world.change_leader(),
         _ => {
--- a/crates/groups/tests/world/mod.rs
+++ b/crates/groups/tests/world/mod.rs
@@ -4,7 +4,7 @@
 
 use engine::{SimCluster, SimConfig, sample_engine};
 use fastrand::Rng;
-use fleet::{GroupChange, GroupName, GroupRecord, HostOrder, HostState, OrderKind};
+use fleet::{Departures, GroupChange, GroupName, GroupRecord, HostOrder, HostState, OrderKind};
 use groups::{Limits, OrderOutcome, OrderResult, Phase, Planner, PlannerInput, Registry};
 use model::ids::{DomainId, HostId};
 use std::{
@@ -21,6 +21,8 @@
     pub cluster: SimCluster,
     pub planner: Planner,
     pub registry: Registry,
+    /// The departures in the log.
+    departures: Departures,
     pub records: BTreeMap<GroupName, GroupRecord>,
     pub domains_out: BTreeSet<DomainId>,
     pub stalled: BTreeSet<GroupName>,
@@ -49,6 +51,7 @@
             cluster: SimCluster::new(config, sample_engine()),
             planner: Planner::resume(1, limits.clone(), &BTreeMap::new(), now),
             registry: Registry::default(),
+            departures: Departures::default(),
             records: BTreeMap::new(),
             domains_out: BTreeSet::new(),
             stalled: BTreeSet::new(),
@@ -97,10 +100,19 @@
         }
     }
 
+    /// A host says that it ends.
+    pub fn depart(&mut self, host: &HostId) {
+        let Some(report) = self.cluster.report(host) else {
+            return;
+        };
+        self.registry.mark_departed(host, report.incarnation);
+        self.departures.record(host.clone(), report.incarnation);
+    }
+
     /// Replaces the leader. The new one knows the log, and each host only from its next report.
     pub fn change_leader(&mut self) {
         self.term += 1;
-        self.registry = Registry::default();
+        self.registry = Registry::new(self.departures.clone());
         self.outcomes.clear();
         self.planner = Planner::resume(self.term, self.limits.clone(), &self.records, self.now);
         self.planner.set_engine_service(Some(self.cluster.service.clone()));
