Acknowledge a change only after the view that contains it

Requests still reached a backend server that control had acknowledged as leaving, and the same holds for a failure domain taken out. Cause: the answers that wait for the next view were given in the next batch of events, whether the planner had run by then or not. It runs at most a sixth of the time, so that with a pass of 60 ms the answer was up to 300 ms ahead of the view, and came also from a leader that then lost its lease before it published one. A repeated report that a host leaves was answered at once.

Answers now wait until no change is left that came after the last pass of the planner.

--- a/crates/coordinator/src/leader/hosts.rs
+++ b/crates/coordinator/src/leader/hosts.rs
@@ -80,7 +80,8 @@
             );
             leader.changed = true;
         }
-        if leaving && has_changed {
+        if leaving {
+            // A repeated report may come before the view that follows the first one.
             leader.replies_after_view.push(reply);
         } else {
             let _ = reply.try_send(Reply::Done);
--- a/crates/coordinator/src/leader/mod.rs
+++ b/crates/coordinator/src/leader/mod.rs
@@ -280,7 +280,8 @@
         let Some(leader) = &mut self.leader_state else {
             return;
         };
-        if learned || leader.manifest.is_none() {
+        // A change that came since the last pass of the planner is not in the view yet.
+        if leader.manifest.is_none() || (learned && !leader.changed) {
             let mut replies = std::mem::take(&mut leader.replies_after_view);
             if leader.distribution.is_complete(now) {
                 replies.append(&mut leader.replies_after_manifest);
