Keep to the rate limits that backend servers name

No code read the header.

A limit is the sum over all entries, and an entry's even share may be far below one request. It is therefore as many points on a circle as requests are permitted in 4 s; each point permits one request in any 4 s at the entry whose interval it lies in. The leader divides the circle by the average request rates of the entries, at most once a second when entries come or go and every 10 s otherwise; a point that moves to another entry rests for a window, so that moving it never permits more. Points are multiples of the golden ratio: a limit that changes adds or removes some and leaves the rest in place. An entry that is cut off or frozen keeps its own points. Cold starts use the same limiter with a window of 1 s instead of one of their own; its tests are unchanged.

What a server says is held with the other notices. A limit ends with a success that doesn't name it and whose request was sent after it was last named. Entries report what they heard to the leader, which publishes the latest in the view, so that entries that send nothing there hear of it too; a new leader that knows nothing yet changes nothing. Zero means one request a minute, above 1,024 a second nothing. Callers are refused at once if only limits stand in the way, and told when the first of them permits a request.

notice_limit_of_a_server_ignored, _taken_by_each_entry and _below_one_a_second_rounded_up failed before; 400 random runs of entries that come and go under changing limits.

The product's own protocol has no such header: its servers announce their load and coldness to entries, and its slots already have one owner.

--- a/crates/admission/src/backends.rs
+++ b/crates/admission/src/backends.rs
@@ -1,11 +1,11 @@
 //! Selection of a backend server for a request, and the requests that this entry runs on each one.
 
 use crate::{
-    cold::ColdLimiter,
     demand::Demand,
     notices::{Notice, Notices, Permit},
+    rate::{RateLimit, RateLimiter},
 };
-use fleet::{Engine, GroupName, Manifest, Replica, RoutingView};
+use fleet::{Engine, GroupName, HostLimit, Manifest, RateShare, Replica, RoutingView};
 use model::ids::{DomainId, HostId, ModelId, ServiceId};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -48,7 +48,7 @@
 }
 
 /// The backend server chosen for a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Choice {
     /// The backend server.
     pub replica: Replica,
@@ -94,21 +94,32 @@
     last_slot: u64,
 }
 
+/// The rate limiters of one host.
+#[derive(Debug, Default)]
+struct HostLimiters {
+    /// For its cold start.
+    cold: RateLimiter,
+    /// For the limit that it has named.
+    named: RateLimiter,
+}
+
 /// The backend servers that an entry may send requests to.
 #[derive(Debug, Default)]
 pub struct Backends {
     manifest: Option<Arc<Manifest>>,
     by_host: BTreeMap<HostId, Backend>,
-    /// Rate limits of cold hosts. They outlive a change of group and a short absence from the
-    /// view, so that neither resets the limit.
-    cold: BTreeMap<HostId, ColdLimiter>,
+    /// Rate limiters of hosts. They outlive a change of group and a short absence from the view, so
+    /// that neither resets the limit.
+    limiters: BTreeMap<HostId, HostLimiters>,
     notices: Notices,
     /// Number of entries that share the backend servers, including this one.
     entries: usize,
     /// This entry's share of the slots, once control has assigned one.
     share: Option<f64>,
+    /// This entry's part of shared rates, once control has assigned one.
+    rate_share: Option<RateShare>,
     domain: DomainId,
-    /// Offset of this entry among all entries, between 0 and 1.
+    /// Where the part of shared rates begins before control has assigned one.
     phase: f64,
     last_slot: u64,
     refusals: u32,
@@ -118,8 +129,8 @@
 impl Backends {
     /// Creates an empty set of backend servers for an entry in the failure domain `domain`.
     ///
-    /// `phase`, between 0 and 1, should differ between entries: it offsets the times at which they
-    /// send requests to a cold host.
+    /// `phase`, between 0 and 1, should differ between entries: until control has assigned a part of
+    /// shared rates, it decides which part the entry uses.
     pub fn new(domain: DomainId, phase: f64) -> Backends {
         Backends { entries: 1, domain, phase, ..Backends::default() }
     }
@@ -134,13 +145,21 @@
         self.share = Some(share);
     }
 
+    /// Sets this entry's part of the rates that all entries share.
+    pub fn set_rate_share(&mut self, share: RateShare) {
+        self.rate_share = Some(share);
+    }
+
     /// Replaces the view. A backend server that stays in the same group keeps its running
     /// requests.
     pub fn set_view(&mut self, view: RoutingView, now: Instant) {
         self.entries = view.senders.max(view.entries.len()).max(1);
         let hosts: BTreeSet<HostId> = view.replicas.iter().map(|r| r.host.clone()).collect();
         self.by_host.retain(|host, _| hosts.contains(host));
-        self.cold.retain(|host, limiter| hosts.contains(host) || !limiter.is_expired(now));
+        let is_free = |limiters: &HostLimiters| {
+            limiters.cold.is_expired(now) && limiters.named.is_expired(now)
+        };
+        self.limiters.retain(|host, limiters| hosts.contains(host) || !is_free(limiters));
         self.notices.set_view(&view.replicas, now);
         for replica in view.replicas {
             let cold_until = now + replica.cold_remaining;
@@ -178,11 +197,13 @@
             return Err(Refused::NoServer);
         };
         self.record_demand(requirements, service.engine.as_ref(), now);
-        let cold_per_s = service.cold_limit.per_s / self.entries as f64;
-        let mut cold_limit_allows = |host: &HostId| {
-            let phase = (self.phase + host_phase(host)).fract();
-            let limiter = self.cold.entry(host.clone()).or_default();
-            limiter.allows(cold_per_s, phase, now)
+        let cold_limit = RateLimit::cold(service.cold_limit.per_s);
+        let even = RateShare { start: self.phase, size: 1.0 / self.entries as f64 };
+        let rate_share = self.rate_share.unwrap_or(even);
+        // When a limiter permits the next request; `None` if never.
+        let next_at = |limiter: &mut RateLimiter, limit: RateLimit, host: &HostId| {
+            limiter.set(limit, rate_share, host_offset(host), now);
+            limiter.next_at(now)
         };
         let mut offered = false;
         // When the first of the backend servers may be sent a request again.
@@ -195,16 +216,36 @@
             }
             offered = true;
             match self.notices.permit(&backend.replica, now) {
-                Permit::Now => opens_at = Some(now),
+                Permit::Now => {}
                 Permit::From(at) => {
-                    opens_at = Some(opens_at.map_or(at, |other| other.min(at)));
+                    opens_at = earlier(opens_at, Some(at));
                     continue;
                 }
                 Permit::Never => continue,
             }
+            let host = &backend.replica.host;
             let cold = backend.cold_until > now;
+            let named_limit = self.notices.limit_per_s(&backend.replica).and_then(RateLimit::named);
+            if cold || named_limit.is_some() {
+                let limiters = self.limiters.entry(host.clone()).or_default();
+                let cold_at = match cold {
+                    true => next_at(&mut limiters.cold, cold_limit, host),
+                    false => Some(now),
+                };
+                let named_at = match named_limit {
+                    Some(limit) => next_at(&mut limiters.named, limit, host),
+                    None => Some(now),
+                };
+                match cold_at.zip(named_at) {
+                    Some((cold_at, named_at)) if cold_at.max(named_at) <= now => {}
+                    next => {
+                        opens_at = earlier(opens_at, next.map(|(a, b)| a.max(b)));
+                        continue;
+                    }
+                }
+            }
+            opens_at = Some(now);
             if backend.avoid_until.is_some_and(|until| until > now)
-                || (cold && !cold_limit_allows(&backend.replica.host))
                 || !backend.has_free_slot(service.engine.as_ref(), share)
             {
                 continue;
@@ -235,8 +276,9 @@
         let number = self.last_slot;
         let backend = self.by_host.get_mut(&host).expect("the chosen host is in the map");
         backend.last_slot = number;
-        if backend.cold_until > now {
-            self.cold.entry(host.clone()).or_default().record(cold_per_s, now);
+        if let Some(limiters) = self.limiters.get_mut(&host) {
+            limiters.cold.record(now);
+            limiters.named.record(now);
         }
         let request = RunningRequest {
             prompt_tokens: requirements.prompt_tokens,
@@ -309,9 +351,21 @@
     }
 
     /// Records what a backend server said of itself in a response. `replica` is the view's entry
-    /// for it at the time of the request. Returns whether the notice was news.
-    pub fn record_notice(&mut self, replica: &Replica, notice: &Notice, now: Instant) -> bool {
-        self.notices.record(replica, notice, now)
+    /// for it at the time of the request, which was sent at `sent_at`. Returns whether the notice
+    /// was news.
+    pub fn record_notice(
+        &mut self,
+        replica: &Replica,
+        notice: &Notice,
+        sent_at: Instant,
+        now: Instant,
+    ) -> bool {
+        self.notices.record(replica, notice, sent_at, now)
+    }
+
+    /// What backend servers have said to this entry of their rate limits.
+    pub fn limits(&self, now: Instant) -> Vec<HostLimit> {
+        self.notices.limits(now)
     }
 
     /// Skips a backend server for `UNREACHABLE_BACKOFF`, because it could not be reached.
@@ -365,9 +419,14 @@
     }
 }
 
-/// Offset of a host between 0 and 1. All entries compute the same one, so that the order in which
-/// they send differs from host to host.
-fn host_phase(host: &HostId) -> f64 {
+/// The earlier of two times, of which either may not be known.
+fn earlier(a: Option<Instant>, b: Option<Instant>) -> Option<Instant> {
+    a.into_iter().chain(b).min()
+}
+
+/// Offset of a host's shared rate, between 0 and 1. All entries compute the same one, so that each
+/// entry has parts of the rates of some hosts.
+fn host_offset(host: &HostId) -> f64 {
     xxh3_64(host.as_bytes()) as f64 / u64::MAX as f64
 }
 
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -4,9 +4,9 @@
 
 mod backends;
 mod budget;
-mod cold;
 mod demand;
 mod notices;
+mod rate;
 mod shutdown;
 mod table;
 
--- a/crates/admission/src/notices.rs
+++ b/crates/admission/src/notices.rs
@@ -1,6 +1,6 @@
 //! What backend servers say of themselves in their responses.
 
-use fleet::{Incarnation, Replica};
+use fleet::{HostLimit, Incarnation, LimitReport, Replica};
 use model::ids::HostId;
 use std::{
     collections::BTreeMap,
@@ -20,6 +20,17 @@
     pub leaving: bool,
     /// How long it wants no requests from this entry.
     pub closed_for: Option<Duration>,
+    /// The requests per second that it takes from all entries together.
+    pub limit_per_s: Option<f64>,
+    /// Whether a limit that is not named has ended. Only some responses would name it.
+    pub may_end_limit: bool,
+}
+
+/// What a backend server said of its rate limit, and when.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct LimitNotice {
+    per_s: Option<f64>,
+    at: Instant,
 }
 
 /// The notices of one incarnation of a backend server.
@@ -30,6 +41,62 @@
     seen_at: Instant,
     leaving: bool,
     closed_until: Option<Instant>,
+    /// What it last said to this entry of its rate limit, if it has named one.
+    limit: Option<LimitNotice>,
+    /// The same for any entry, as control published it.
+    published_limit: Option<LimitNotice>,
+}
+
+impl HostNotices {
+    fn new(incarnation: Incarnation, now: Instant) -> HostNotices {
+        HostNotices {
+            incarnation,
+            seen_at: now,
+            leaving: false,
+            closed_until: None,
+            limit: None,
+            published_limit: None,
+        }
+    }
+
+    /// Takes a notice of a response to a request that was sent at `sent_at`. Returns whether it
+    /// was news.
+    fn record(&mut self, notice: &Notice, sent_at: Instant, now: Instant) -> bool {
+        let is_leaving_news = notice.leaving && !self.leaving;
+        self.leaving |= notice.leaving;
+        let closed_until = notice.closed_for.map(|time| now + time.min(MAX_CLOSED));
+        self.closed_until = self.closed_until.max(closed_until);
+        let before = self.limit_per_s();
+        match (notice.limit_per_s, self.limit) {
+            (Some(per_s), _) => self.limit = Some(LimitNotice { per_s: Some(per_s), at: now }),
+            // A response to a request that was sent before the limit was named may be older.
+            (None, limit) if notice.may_end_limit => {
+                let named_at = limit.max_by_time(self.published_limit).map(|limit| limit.at);
+                if named_at.is_some_and(|named_at| named_at < sent_at) {
+                    self.limit = Some(LimitNotice { per_s: None, at: now });
+                }
+            }
+            (None, _) => {}
+        }
+        let is_limit_news = before.is_some() != self.limit_per_s().is_some();
+        is_leaving_news || notice.closed_for.is_some() || is_limit_news
+    }
+
+    /// The rate limit in force.
+    fn limit_per_s(&self) -> Option<f64> {
+        self.limit.max_by_time(self.published_limit)?.per_s
+    }
+}
+
+/// Choice of the later of two notices.
+trait Later {
+    fn max_by_time(self, other: Self) -> Self;
+}
+
+impl Later for Option<LimitNotice> {
+    fn max_by_time(self, other: Option<LimitNotice>) -> Option<LimitNotice> {
+        [self, other].into_iter().flatten().max_by_key(|notice| notice.at)
+    }
 }
 
 /// Whether a backend server may be sent a request.
@@ -53,9 +120,17 @@
     /// Drops the notices of earlier incarnations, and of hosts that left the view long ago.
     pub(crate) fn set_view(&mut self, replicas: &[Replica], now: Instant) {
         for replica in replicas {
-            if let Some(notices) = self.by_host.get_mut(&replica.host) {
-                notices.seen_at = now;
+            if replica.limit.is_none() && !self.by_host.contains_key(&replica.host) {
+                continue;
             }
+            let notices = self.current(replica, now);
+            notices.seen_at = now;
+            let published = replica.limit.map(|limit| LimitNotice {
+                per_s: limit.per_s,
+                at: now.checked_sub(limit.age).unwrap_or(now),
+            });
+            // A leader that has just begun knows less than the one before it.
+            notices.published_limit = published.or(notices.published_limit);
         }
         let incarnations: BTreeMap<&HostId, Incarnation> =
             replicas.iter().map(|replica| (&replica.host, replica.incarnation)).collect();
@@ -66,30 +141,49 @@
         });
     }
 
-    /// Records what a backend server said in a response. Returns whether it was news.
-    pub(crate) fn record(&mut self, replica: &Replica, notice: &Notice, now: Instant) -> bool {
-        if *notice == Notice::default() && !self.by_host.contains_key(&replica.host) {
-            return false;
-        }
-        let new = || HostNotices {
-            incarnation: replica.incarnation,
-            seen_at: now,
-            leaving: false,
-            closed_until: None,
-        };
-        let notices = self.by_host.entry(replica.host.clone()).or_insert_with(new);
+    /// Records what a backend server said in a response to a request that was sent at `sent_at`.
+    /// Returns whether it was news.
+    pub(crate) fn record(
+        &mut self,
+        replica: &Replica,
+        notice: &Notice,
+        sent_at: Instant,
+        now: Instant,
+    ) -> bool {
+        let known = self.by_host.get(&replica.host);
+        let says_nothing =
+            !notice.leaving && notice.closed_for.is_none() && notice.limit_per_s.is_none();
         // A response of an earlier incarnation says nothing of the current one.
-        if notices.incarnation > replica.incarnation {
+        if known.map_or(says_nothing, |known| known.incarnation > replica.incarnation) {
             return false;
         }
+        self.current(replica, now).record(notice, sent_at, now)
+    }
+
+    /// The notices of the incarnation of `replica`, which is not an earlier one.
+    fn current(&mut self, replica: &Replica, now: Instant) -> &mut HostNotices {
+        let new = || HostNotices::new(replica.incarnation, now);
+        let notices = self.by_host.entry(replica.host.clone()).or_insert_with(new);
         if notices.incarnation < replica.incarnation {
             *notices = new();
         }
-        let is_news = notice.leaving && !notices.leaving || notice.closed_for.is_some();
-        notices.leaving |= notice.leaving;
-        let closed_until = notice.closed_for.map(|time| now + time.min(MAX_CLOSED));
-        notices.closed_until = notices.closed_until.max(closed_until);
-        is_news
+        notices
+    }
+
+    /// The rate limit that a backend server has named, in requests per second over all entries.
+    pub(crate) fn limit_per_s(&self, replica: &Replica) -> Option<f64> {
+        self.of(replica)?.limit_per_s()
+    }
+
+    /// What backend servers have said to this entry of their rate limits.
+    pub(crate) fn limits(&self, now: Instant) -> Vec<HostLimit> {
+        let limit_of = |(host, notices): (&HostId, &HostNotices)| {
+            let LimitNotice { per_s, at } = notices.limit?;
+            let limit = LimitReport { per_s, age: now.saturating_duration_since(at) };
+            Some(HostLimit { host: host.clone(), incarnation: notices.incarnation, limit })
+        };
+        let limits = self.by_host.iter().filter_map(limit_of);
+        limits.filter(|limit| limit.limit.per_s.is_some() || limit.limit.age < RETENTION).collect()
     }
 
     /// Whether a backend server may be sent a request.
--- a/crates/admission/tests/backends.rs
+++ b/crates/admission/tests/backends.rs
@@ -23,6 +23,7 @@
         slots: 6,
         cold_remaining: Duration::ZERO,
         group: group.map(|(name, model)| (name.into(), model.into())),
+        limit: None,
     }
 }
 
@@ -297,10 +298,10 @@
     let leaving = replica("a", "near", Some(("g1", "large")));
     let mut backends = backends(vec![leaving.clone()], 1, 0.0, now);
     let notice = Notice { leaving: true, ..Notice::default() };
-    expect_true!(backends.record_notice(&leaving, &notice, now));
-    expect_false!(backends.record_notice(&leaving, &notice, now));
+    expect_true!(backends.record_notice(&leaving, &notice, now, now));
+    expect_false!(backends.record_notice(&leaving, &notice, now, now));
     // A response to an earlier request may arrive later.
-    backends.record_notice(&leaving, &Notice::default(), now);
+    backends.record_notice(&leaving, &Notice::default(), now, now);
     expect_true!(backends.choose(&requirements(&[]), now).is_err());
     backends.set_view(view(vec![], 1), now);
     backends.set_view(view(vec![replica("a", "near", Some(("g2", "large")))], 1), now);
@@ -309,7 +310,7 @@
     backends.set_view(view(vec![again], 1), now);
     expect_true!(backends.choose(&requirements(&[]), now).is_ok());
     // A late response of the earlier incarnation.
-    backends.record_notice(&leaving, &notice, now);
+    backends.record_notice(&leaving, &notice, now, now);
     expect_true!(backends.choose(&requirements(&[]), now).is_ok());
 }
 
@@ -320,10 +321,10 @@
     let mut backends = backends(vec![group.clone()], 1, 0.0, now);
     let close =
         |seconds| Notice { closed_for: Some(Duration::from_secs(seconds)), ..Notice::default() };
-    backends.record_notice(&group, &close(5), now);
+    backends.record_notice(&group, &close(5), now, now);
     // An answer that was sent earlier doesn't open it.
-    backends.record_notice(&group, &close(2), now);
-    backends.record_notice(&group, &Notice::default(), now);
+    backends.record_notice(&group, &close(2), now, now);
+    backends.record_notice(&group, &Notice::default(), now, now);
     let Err(Refused::Full(after)) = backends.choose(&requirements(&[]), now) else {
         panic!("it is closed");
     };
@@ -339,7 +340,7 @@
     let group = replica("a", "near", Some(("g1", "large")));
     let mut backends = backends(vec![group.clone()], 1, 0.0, now);
     let notice = Notice { closed_for: Some(Duration::MAX), ..Notice::default() };
-    backends.record_notice(&group, &notice, now);
+    backends.record_notice(&group, &notice, now, now);
     expect_true!(backends.choose(&requirements(&[]), now).is_err());
     expect_true!(backends.choose(&requirements(&[]), now + Duration::from_secs(600)).is_ok());
 }
--- a/crates/admission/tests/random.rs
+++ b/crates/admission/tests/random.rs
@@ -89,6 +89,7 @@
                 slots: 26,
                 cold_remaining: cold,
                 group: Some((group.clone(), model.into())),
+                limit: None,
             });
             if old.is_none() {
                 self.running.remove(&host);
--- a/crates/coordinator/src/leader/entries.rs
+++ b/crates/coordinator/src/leader/entries.rs
@@ -6,7 +6,7 @@
 use fleet::{ControlMessage, EntryMessage};
 use groups::{EntrySummary, routing_view};
 use log::info;
-use std::{net::SocketAddr, time::Instant};
+use std::{collections::BTreeMap, net::SocketAddr, time::Instant};
 
 impl Driver {
     pub(super) fn not_leader(&self) -> ControlMessage {
@@ -62,7 +62,7 @@
         message: EntryMessage,
         now: Instant,
     ) {
-        let status = match message {
+        let mut status = match message {
             EntryMessage::Status(status) => status,
             EntryMessage::Evidence(observations) => {
                 if self.log.node.holds_lease(now) {
@@ -81,6 +81,13 @@
                 }
                 leader.has_traffic |= status.forwarded > 0;
                 leader.distribution.record_report(session, status.manifest, now);
+                for limit in std::mem::take(&mut status.limits) {
+                    let (host, per_s) = (limit.host.clone(), limit.limit.per_s);
+                    if leader.host_limits.record(limit, now) {
+                        info!("event=server_limit host={host} per_s={per_s:?}");
+                        leader.changed = true;
+                    }
+                }
                 let stalled_before = before.map(|(before, _)| &before.stalled);
                 leader.changed |=
                     !status.stalled.is_empty() && stalled_before != Some(&status.stalled);
@@ -106,7 +113,7 @@
         entries.sort_unstable();
         entries.dedup();
         let entries = EntrySummary { accepting: entries, senders: leader.entries.len() };
-        let view = routing_view(
+        let mut view = routing_view(
             &leader.planner,
             &leader.registry,
             &self.ledger.domains_out,
@@ -118,6 +125,9 @@
         if !is_complete && view.replicas.is_empty() {
             return;
         }
+        for replica in &mut view.replicas {
+            replica.limit = leader.host_limits.report(&replica.host, replica.incarnation, now);
+        }
         let old = leader.view.as_ref();
         let has_same_routes = old.is_some_and(|old| old.same_routes(&view));
         if has_same_routes && (old == Some(&view) || now < leader.view_at + COLD_TIME_INTERVAL) {
@@ -142,10 +152,10 @@
 }
 
 impl LeaderState {
-    pub(super) fn divide_slots(&mut self) -> Vec<(SessionId, f64)> {
-        let request_rates =
-            self.entries.iter().map(|(session, (status, _))| (*session, status.request_rate));
-        self.shares.divide(&request_rates.collect())
+    /// The recent request rate of each entry.
+    pub(super) fn request_rates(&self) -> BTreeMap<SessionId, f64> {
+        let rates = self.entries.iter();
+        rates.map(|(session, (status, _))| (*session, status.request_rate)).collect()
     }
 
     pub(super) fn expire_entries(&mut self, now: Instant) {
--- a/crates/coordinator/src/leader/mod.rs
+++ b/crates/coordinator/src/leader/mod.rs
@@ -10,6 +10,7 @@
     driver::Driver,
     events::{Event, Reply, SessionId},
     ledger::Command,
+    rates::{HostLimits, RateShares},
     shares::SlotShares,
 };
 use async_channel::Sender;
@@ -56,6 +57,8 @@
     logged_phases: BTreeMap<GroupName, Phase>,
     entries: BTreeMap<SessionId, (EntryStatus, Instant)>,
     shares: SlotShares,
+    rate_shares: RateShares,
+    host_limits: HostLimits,
     quarantine: Quarantine,
     /// When slots were last divided among the entries.
     shared_at: Instant,
@@ -131,6 +134,8 @@
             logged_phases: BTreeMap::new(),
             entries: BTreeMap::new(),
             shares: SlotShares::default(),
+            rate_shares: RateShares::default(),
+            host_limits: HostLimits::default(),
             quarantine: Quarantine::default(),
             shared_at: now,
             host_uses_at: now,
@@ -292,9 +297,14 @@
         }
         if now >= leader.shared_at + SHARE_INTERVAL {
             leader.shared_at = now;
-            for (session, share) in leader.divide_slots() {
+            let request_rates = leader.request_rates();
+            let slots = leader.shares.divide(&request_rates).into_iter();
+            let slots = slots.map(|(session, share)| (session, ControlMessage::Share(share)));
+            let rates = leader.rate_shares.divide(&request_rates, now).into_iter();
+            let rates = rates.map(|(session, share)| (session, ControlMessage::RateShare(share)));
+            for (session, message) in slots.chain(rates) {
                 if let Some(tx) = self.entries.get(&session) {
-                    send_or_close(tx, ControlMessage::Share(share));
+                    send_or_close(tx, message);
                 }
             }
         }
@@ -323,6 +333,8 @@
             return;
         };
         leader.registry.forget(&self.config.limits, now);
+        let hosts = leader.registry.hosts();
+        leader.host_limits.retain(|host| hosts.contains_key(host));
         let (Some(manifest), Some(name)) = (&leader.manifest, leader.planner.engine_service())
         else {
             return;
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -11,6 +11,7 @@
 mod ledger;
 mod membership;
 mod metrics;
+mod rates;
 mod sessions;
 mod shares;
 
@@ -19,6 +20,7 @@
 pub use events::{Call, Event, Handle, Reply, SessionId};
 pub use ledger::{Command, CommandError, Ledger, StoredManifest};
 pub use metrics::Counters;
+pub use rates::{HostLimits, RateShares};
 pub use replog::Tolerance;
 pub use sessions::Sessions;
 pub use shares::SlotShares;
--- a/crates/coordinator/tests/driver.rs
+++ b/crates/coordinator/tests/driver.rs
@@ -103,6 +103,7 @@
         progressing: vec![],
         stalled: vec![],
         manifest,
+        limits: vec![],
     })
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 mod manifest;
 mod messages;
 mod packed;
+mod rate;
 mod view;
 
 pub use departures::Departures;
@@ -24,6 +25,7 @@
     LogMessage,
 };
 pub use packed::{PackedManifest, UnpackError};
+pub use rate::{HostLimit, LimitReport, RateShare};
 pub use view::{Replica, RoutingView};
 
 /// The name of a group of hosts, unique across all terms of leadership.
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -1,6 +1,6 @@
 //! Messages between control processes, and between entries and control.
 
-use crate::{GroupName, PackedManifest, RoutingView};
+use crate::{GroupName, HostLimit, PackedManifest, RateShare, RoutingView};
 use model::ids::{ControlId, CulpritId, DomainId, EntryId, ModelId, RequestDigest};
 use quarantine::Observation;
 use replog::Envelope;
@@ -63,6 +63,8 @@
     pub stalled: Vec<GroupName>,
     /// The number of the manifest that it holds.
     pub manifest: Option<u64>,
+    /// What backend servers have last said to it of their rate limits.
+    pub limits: Vec<HostLimit>,
 }
 
 /// A message from an entry to control.
@@ -91,6 +93,8 @@
     View(RoutingView),
     /// The entry's share of the slots of each backend server, between 0 and 1.
     Share(f64),
+    /// The entry's part of the rates that all entries share.
+    RateShare(RateShare),
     /// The sender is the leader, and nothing has changed.
     Keepalive {
         /// Session addresses of control processes.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -1,6 +1,6 @@
 //! The routing view: the backend servers that entries may send requests to.
 
-use crate::{GroupName, Incarnation};
+use crate::{GroupName, Incarnation, LimitReport};
 use model::ids::{DomainId, HostId, ModelId, ServiceId};
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, time::Duration};
@@ -9,7 +9,7 @@
 ///
 /// Unlike `model::view::View`, it is always sent as a whole and without the manifest, and covers
 /// plain backend servers and heads of groups in one list.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct RoutingView {
     /// Plain backend servers and heads of serving groups.
     pub replicas: Vec<Replica>,
@@ -23,14 +23,18 @@
 }
 
 impl RoutingView {
-    /// Whether `other` differs at most in the remaining time of cold starts.
+    /// Whether `other` differs at most in the remaining time of cold starts and the height of rate
+    /// limits.
     pub fn same_routes(&self, other: &RoutingView) -> bool {
+        let has_limit =
+            |replica: &Replica| replica.limit.is_some_and(|limit| limit.per_s.is_some());
         let same = |(a, b): (&Replica, &Replica)| {
             a.host == b.host
                 && a.incarnation == b.incarnation
                 && a.address == b.address
                 && a.group == b.group
                 && a.cold_remaining.is_zero() == b.cold_remaining.is_zero()
+                && has_limit(a) == has_limit(b)
         };
         self.entries == other.entries
             && self.senders == other.senders
@@ -43,7 +47,7 @@
 /// A backend server that takes requests: a plain one, or the head of a group.
 ///
 /// In `model`, a replica of a model is a whole group, and one of a service is a backend server.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Replica {
     /// The host.
     pub host: HostId,
@@ -62,4 +66,6 @@
     pub cold_remaining: Duration,
     /// The group that it is the head of, and the model.
     pub group: Option<(GroupName, ModelId)>,
+    /// What it last said of its rate limit to any entry, if it has named one.
+    pub limit: Option<LimitReport>,
 }
--- a/crates/gateway/src/control_client.rs
+++ b/crates/gateway/src/control_client.rs
@@ -170,6 +170,10 @@
                 info!("event=share part={share:.3}");
                 self.state.set_share(share);
             }
+            ControlMessage::RateShare(share) => {
+                info!("event=rate_share start={:.3} size={:.3}", share.start, share.size);
+                lock(&self.state.backends).set_rate_share(share);
+            }
             ControlMessage::Quarantine(culprits) => {
                 info!("event=quarantine parts={:x?}", ids(&culprits));
                 self.metrics.parts_in_quarantine.set(culprits.len() as i64);
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -475,15 +475,17 @@
         response: &Response<Incoming>,
     ) {
         let notice = self.dialect.parse_notice(response.status(), response.headers());
+        let now = self.state.clock.now();
         let is_news =
-            lock(&self.state.backends).record_notice(replica, &notice, self.state.clock.now());
+            lock(&self.state.backends).record_notice(replica, &notice, request.sent_at, now);
         if is_news {
             info!(
-                "event=server_notice id={} host={} leaving={} closed_ms={}",
+                "event=server_notice id={} host={} leaving={} closed_ms={} limit_per_s={:?}",
                 request.info.id,
                 replica.host,
                 notice.leaving,
-                notice.closed_for.map_or(0, |time| time.as_millis())
+                notice.closed_for.map_or(0, |time| time.as_millis()),
+                notice.limit_per_s
             );
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -198,6 +198,7 @@
             progressing: backends.progressing(PROGRESS_WINDOW, now),
             stalled: backends.stalled(STALLED_AFTER, now),
             manifest: self.manifest_number(),
+            limits: backends.limits(now),
         }
     }
 
--- a/crates/groups/src/view.rs
+++ b/crates/groups/src/view.rs
@@ -59,5 +59,6 @@
         slots: status.report.slots,
         cold_remaining: status.cold_remaining(now),
         group: None,
+        limit: None,
     }
 }
