Answer all requests in flight before an entry ends

Late requests were refused in time before as well, but one whose time ended just with the process could be cut off.

200 ms before the process ends, every request that has no response yet gets one that says that it may have run, and a late request is taken only if its caller's time ends before that. What an entry has begun to stream still breaks off visibly.

--- a/crates/admission/src/shutdown.rs
+++ b/crates/admission/src/shutdown.rs
@@ -7,6 +7,9 @@
 /// period to complete.
 const ACCEPT_ALL_PERIOD: Duration = Duration::from_millis(2800);
 
+/// How long before the end of the process the last responses are sent, so that they arrive.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(200);
+
 /// The grace period between the signal to stop and the end of the process.
 #[derive(Debug, Clone, Copy)]
 pub struct Shutdown {
@@ -21,6 +24,12 @@
     /// `ACCEPT_ALL_PERIOD`, only requests that are certain to end before the process does are
     /// accepted.
     pub fn accepts(&self, now: Instant, deadline: Instant) -> bool {
-        now.saturating_duration_since(self.began) < ACCEPT_ALL_PERIOD || deadline <= self.end
+        now.saturating_duration_since(self.began) < ACCEPT_ALL_PERIOD
+            || deadline <= self.respond_by()
+    }
+
+    /// When requests that are still in flight get a response, as the process ends.
+    pub fn respond_by(&self) -> Instant {
+        self.end.checked_sub(RESPONSE_MARGIN).unwrap_or(self.end)
     }
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -161,12 +161,18 @@
         let info = self.dialect.parse_request(&parts.headers);
         let id = info.id.clone();
         self.metrics.requests.inc();
-        let outcome = match self.admit(parts, body, info, received_at).await {
-            Ok(request) if request.kind.is_stream() => self.clone().stream(request).await,
-            Ok(request) => self.unary(request).await,
-            Err(refusal) => Err(refusal),
+        let respond = async {
+            match self.admit(parts, body, info, received_at).await {
+                Ok(request) if request.kind.is_stream() => self.clone().stream(request).await,
+                Ok(request) => self.unary(request).await,
+                Err(refusal) => Err(refusal),
+            }
+        };
+        let end = async {
+            self.state.wait_for_end().await;
+            Err(Refusal::Stopped)
         };
-        match outcome {
+        match respond.or(end).await {
             Ok(response) => {
                 self.metrics.answered.inc();
                 response
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -33,6 +33,8 @@
     },
     /// This process is shutting down.
     Leaving,
+    /// This process ends before the response has arrived. The request may have run.
+    Stopped,
     /// The backend servers tried have not run the request.
     NotRun {
         /// When the caller should retry.
@@ -60,6 +62,7 @@
             Refusal::Full { .. } => "full",
             Refusal::Quarantined { .. } => "quarantined",
             Refusal::Leaving => "leaving",
+            Refusal::Stopped => "stopped",
             Refusal::NotRun { .. } => "not_run",
             Refusal::ResponseLost => "lost",
             Refusal::TimedOut { .. } => "timed_out",
@@ -81,7 +84,7 @@
     /// Whether the request may have run.
     pub fn verdict(&self) -> Verdict {
         match self {
-            Refusal::ResponseLost => Verdict::MayHaveRun,
+            Refusal::ResponseLost | Refusal::Stopped => Verdict::MayHaveRun,
             Refusal::TimedOut { verdict } => *verdict,
             _ => Verdict::NotRun,
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,9 +1,11 @@
 //! The state that the tasks of an entry share.
 
 use admission::{Backends, RetryBudget, RouteTable, Shutdown};
+use async_io::Timer;
 use base::{clock::Clock, sync::lock};
 use fleet::{EntryStatus, Manifest, RoutingView};
 use model::ids::{CulpritId, DomainId, EntryId, PromptPartId, RequestDigest, ServiceId};
+use net::Stop;
 use quarantine::{Blocklist, EvidenceLog};
 use std::{
     collections::HashMap,
@@ -52,6 +54,8 @@
     view_received_at: Mutex<Option<Instant>>,
     has_complete_view: AtomicBool,
     shutdown: Mutex<Option<Shutdown>>,
+    /// Triggered once `shutdown` is set.
+    leaving: Stop,
     pub(crate) evidence: Mutex<EvidenceLog>,
     blocklist: Mutex<Blocklist>,
     forwarded: AtomicU64,
@@ -84,6 +88,7 @@
             view_received_at: Mutex::default(),
             has_complete_view: AtomicBool::new(false),
             shutdown: Mutex::default(),
+            leaving: Stop::default(),
             evidence: Mutex::default(),
             blocklist: Mutex::default(),
             forwarded: AtomicU64::new(0),
@@ -120,6 +125,16 @@
     /// `end` at the latest.
     pub fn leave(&self, end: Instant) {
         *lock(&self.shutdown) = Some(Shutdown { began: self.clock.now(), end });
+        self.leaving.trigger();
+    }
+
+    /// Waits until the process is about to end, so that requests in flight need a response now.
+    pub(crate) async fn wait_for_end(&self) {
+        self.leaving.wait().await;
+        let respond_by = lock(&self.shutdown).map(|shutdown| shutdown.respond_by());
+        if let Some(at) = respond_by {
+            Timer::after(at.saturating_duration_since(self.clock.now())).await;
+        }
     }
 
     /// Whether a request with this deadline may be accepted, which [`Shutdown::accepts`] decides
