Remove a partial record before each attempt to write to a full disk

Other operators of systems like this one saw changes refused long after the last of several full disks had room again. The search found a fault of its own: if the disk also refused to cut off the part of a record that was written, the next attempt wrote the whole record behind that part, and the log counted as damaged at the next start (append_while_full_leaves_no_partial_record, failed before). The part is now cut off before each attempt, and a rename waits for room like a write.

--- a/crates/store/src/folder.rs
+++ b/crates/store/src/folder.rs
@@ -3,7 +3,7 @@
 use crate::{
     error::StoreError,
     frame::{Frame, Record, decode, encode},
-    full::retry_while_full,
+    full::{append_while_full, retry_while_full},
 };
 use replog::{Entry, HardState, NodeId, Restored, Snapshot, Write};
 use std::{
@@ -124,16 +124,8 @@
             return Ok(());
         }
         let path = self.folder.join(LOG_FILE);
-        let (log, valid_bytes) = (&mut self.log, self.log_bytes);
-        let appended = retry_while_full(DISK_FULL_RETRY_INTERVAL, || {
-            let written = log.write_all(&buf);
-            if written.is_err() {
-                // Remove a partial write before the next attempt.
-                log.set_len(valid_bytes)?;
-            }
-            written
-        });
-        appended.map_err(|e| io_error("write", &path, e))?;
+        append_while_full(&mut self.log, self.log_bytes, &buf, DISK_FULL_RETRY_INTERVAL)
+            .map_err(|e| io_error("write", &path, e))?;
         self.log.sync_data().map_err(|e| io_error("sync", &path, e))?;
         self.log_bytes += buf.len() as u64;
         Ok(())
@@ -150,7 +142,8 @@
         let path = self.folder.join(LOG_FILE);
         retry_while_full(DISK_FULL_RETRY_INTERVAL, || write_synced(&new_path, &buf))
             .map_err(|e| io_error("write", &new_path, e))?;
-        fs::rename(&new_path, &path).map_err(|e| io_error("rename", &new_path, e))?;
+        retry_while_full(DISK_FULL_RETRY_INTERVAL, || fs::rename(&new_path, &path))
+            .map_err(|e| io_error("rename", &new_path, e))?;
         sync_folder(&self.folder)?;
         self.log =
             OpenOptions::new().append(true).open(&path).map_err(|e| io_error("open", &path, e))?;
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -12,4 +12,4 @@
 
 pub use error::StoreError;
 pub use folder::{Loaded, Store};
-pub use full::retry_while_full;
+pub use full::{AppendFile, append_while_full, retry_while_full};
