Encode manifests outside the driver, and send three at a time at least

A manifest of 8,000 routes was sent to one entry after another, as two exceed 256 kB, and each takes its entry some 60 ms to read: the change was answered after 4.7 s. Three may now be on their way whatever their size, so a test that asked for one at a time asks for three at most; the record is encoded and compressed by the task that takes the call, not by the thread that sends heartbeats.

--- a/crates/coordinator/src/distribution.rs
+++ b/crates/coordinator/src/distribution.rs
@@ -10,9 +10,11 @@
     time::{Duration, Instant},
 };
 
-/// Bytes of manifests that may be on their way to entries at the same time. One manifest may be,
-/// whatever its size.
+/// Bytes of manifests that may be on their way to entries at the same time.
 const MAX_BYTES_IN_TRANSIT: usize = 256 << 10;
+/// Manifests that may be on their way at the same time, whatever their size: while one entry reads
+/// its manifest, another is sent its own.
+const MIN_IN_TRANSIT: usize = 3;
 /// Time after which an entry that hasn't confirmed a manifest no longer holds up others.
 const TRANSIT_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Time without a report after which a change isn't held up by an entry: a few report intervals.
@@ -75,7 +77,7 @@
             return Vec::new();
         };
         let in_transit = self.entries.values().filter(|entry| entry.is_in_transit(now)).count();
-        let most = (MAX_BYTES_IN_TRANSIT / size.max(1)).max(1);
+        let most = (MAX_BYTES_IN_TRANSIT / size.max(1)).max(MIN_IN_TRANSIT);
         let lacks = |entry: &EntryState| {
             entry.held < Some(number) && entry.sent.is_none_or(|(sent, _)| sent < number)
         };
--- a/crates/coordinator/src/driver.rs
+++ b/crates/coordinator/src/driver.rs
@@ -7,7 +7,7 @@
     Orders,
     events::{Call, Event, Handle, Reply, SessionId},
     leader::LeaderState,
-    ledger::{Command, Ledger, StoredManifest},
+    ledger::{Command, Ledger},
     metrics::Counters,
 };
 use async_channel::Sender;
@@ -234,8 +234,8 @@
             return;
         }
         match call {
-            Call::Change(Command::Manifest(stored)) => self.change_manifest(stored, reply),
             Call::Change(command) => self.propose(&command, Some(reply)),
+            Call::Manifest { number, record } => self.propose_manifest(number, record, reply),
             Call::ReadManifest => {
                 let answer = match &self.ledger.manifest {
                     Some(stored) => Reply::Manifest(stored.body.clone()),
@@ -249,8 +249,7 @@
     }
 
     /// Proposes a manifest, unless it changes nothing or is already on its way into the log.
-    fn change_manifest(&mut self, stored: Box<StoredManifest>, reply: Sender<Reply>) {
-        let number = stored.manifest.number;
+    fn propose_manifest(&mut self, number: u64, record: Vec<u8>, reply: Sender<Reply>) {
         if self.ledger.manifest.is_some() && number <= self.ledger.number() {
             self.reply_after_manifest(reply);
             return;
@@ -266,7 +265,7 @@
                 }
             }
         }
-        self.propose(&Command::Manifest(stored), Some(reply));
+        self.propose_record(record, Some(reply));
     }
 
     /// Returns the latest introduction of the leader, if another known process leads.
@@ -276,7 +275,11 @@
     }
 
     pub(crate) fn propose(&mut self, command: &Command, reply: Option<Sender<Reply>>) {
-        if let Err(reply) = self.log.propose(command.encode(), reply) {
+        self.propose_record(command.encode(), reply);
+    }
+
+    fn propose_record(&mut self, record: Vec<u8>, reply: Option<Sender<Reply>>) {
+        if let Err(reply) = self.log.propose(record, reply) {
             send_reply(reply, Reply::NotLeader(None));
         }
     }
--- a/crates/coordinator/src/events.rs
+++ b/crates/coordinator/src/events.rs
@@ -1,6 +1,6 @@
 //! Events that the driver handles, and its replies.
 
-use crate::ledger::Command;
+use crate::ledger::{Command, StoredManifest};
 use async_channel::{Receiver, Sender, bounded};
 use fleet::{ControlMessage, EntryMessage, GroupMember, HostReport, HostState, LogMessage};
 use groups::OrderOutcome;
@@ -65,6 +65,13 @@
 pub enum Call {
     /// Changes the replicated state.
     Change(Command),
+    /// Replaces the manifest; made by [`Call::manifest`].
+    Manifest {
+        /// The number of the manifest.
+        number: u64,
+        /// The encoded command.
+        record: Vec<u8>,
+    },
     /// Reads the current manifest.
     ReadManifest,
     /// A report of a backend server.
@@ -73,6 +80,15 @@
     Left(HostId),
 }
 
+impl Call {
+    /// A call to replace the manifest. It encodes the manifest, which takes long for thousands of
+    /// routes, so that the driver need not.
+    pub fn manifest(stored: StoredManifest) -> Call {
+        let number = stored.manifest.number;
+        Call::Manifest { number, record: Command::Manifest(Box::new(stored)).encode() }
+    }
+}
+
 /// The reply to a call.
 #[derive(Debug)]
 pub enum Reply {
