Skip a server that is full again and again for longer

A new leader forgot the limits that entries report for hosts which it didn't know yet, and took each report for news, for as long as the hosts were silent; it keeps them for a minute.

--- a/crates/admission/src/backends.rs
+++ b/crates/admission/src/backends.rs
@@ -16,8 +16,11 @@
 
 /// How long a backend server is skipped after it could not be reached.
 const UNREACHABLE_BACKOFF: Duration = Duration::from_millis(1000);
-/// How long a backend server is skipped after it reported that it was full.
+/// How long a backend server is skipped after it reported that it was full. Each further time
+/// without an answer in between doubles it, as each attempt there may cost a retry elsewhere.
 const FULL_BACKOFF: Duration = Duration::from_millis(50);
+/// How often `FULL_BACKOFF` is doubled at most.
+const MAX_FULL_DOUBLINGS: u32 = 3;
 /// Requests of a plain service that may queue at a replica, per slot.
 const PLAIN_QUEUE_PER_SLOT: usize = 1;
 /// Shortest time after which a refused caller is told to retry.
@@ -87,6 +90,8 @@
     replica: Replica,
     cold_until: Instant,
     avoid_until: Option<Instant>,
+    /// How often it has reported that it was full since its last answer.
+    full_in_a_row: u32,
     /// Requests of this entry that run here, by slot number.
     running: BTreeMap<u64, RunningRequest>,
     last_progress: Option<Instant>,
@@ -173,6 +178,7 @@
                         cold_until,
                         replica: replica.clone(),
                         avoid_until: None,
+                        full_in_a_row: 0,
                         running: BTreeMap::new(),
                         last_progress: None,
                         last_slot: 0,
@@ -337,6 +343,7 @@
     pub fn record_progress(&mut self, slot: &SlotId, now: Instant) {
         if let Some(backend) = self.by_host.get_mut(&slot.host) {
             backend.last_progress = Some(now);
+            backend.full_in_a_row = 0;
             if let Some(request) = backend.running.get_mut(&slot.number) {
                 request.first_event_at.get_or_insert(now);
             }
@@ -373,9 +380,14 @@
         self.avoid(host, now + UNREACHABLE_BACKOFF);
     }
 
-    /// Skips a backend server for `FULL_BACKOFF`, because it reported that it was full.
+    /// Skips a backend server for `FULL_BACKOFF` or a multiple, because it reported that it was full.
     pub fn mark_full(&mut self, host: &HostId, now: Instant) {
-        self.avoid(host, now + FULL_BACKOFF);
+        let Some(backend) = self.by_host.get_mut(host) else {
+            return;
+        };
+        let doublings = backend.full_in_a_row.min(MAX_FULL_DOUBLINGS);
+        backend.full_in_a_row += 1;
+        self.avoid(host, now + FULL_BACKOFF * 2_u32.pow(doublings));
     }
 
     fn avoid(&mut self, host: &HostId, until: Instant) {
--- a/crates/admission/tests/backends.rs
+++ b/crates/admission/tests/backends.rs
@@ -344,3 +344,26 @@
     expect_true!(backends.choose(&requirements(&[]), now).is_err());
     expect_true!(backends.choose(&requirements(&[]), now + Duration::from_secs(600)).is_ok());
 }
+
+/// Guards against a server that is full for long and costs most requests a retry.
+#[gtest]
+fn mark_full_again_and_again_skips_a_server_for_longer() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let group = replica("a", "near", Some(("g1", "large")));
+    let mut backends = backends(vec![group], 1, 0.0, start);
+    let mut refused = 0;
+    for ms in (0..4000).step_by(10) {
+        if let Ok(choice) = backends.choose(&requirements(&[]), at(ms)) {
+            backends.release(&choice.slot);
+            backends.mark_full(&"a".into(), at(ms));
+            refused += 1;
+        }
+    }
+    expect_that!(refused, all![ge(8), le(13)]);
+    // One answer ends it.
+    let choice = backends.choose(&requirements(&[]), at(5000)).expect("it is tried again");
+    backends.record_progress(&choice.slot, at(5010));
+    backends.mark_full(&"a".into(), at(5020));
+    expect_true!(backends.choose(&requirements(&[]), at(5080)).is_ok());
+}
--- a/crates/coordinator/src/leader/mod.rs
+++ b/crates/coordinator/src/leader/mod.rs
@@ -334,7 +334,7 @@
         };
         leader.registry.forget(&self.config.limits, now);
         let hosts = leader.registry.hosts();
-        leader.host_limits.retain(|host| hosts.contains_key(host));
+        leader.host_limits.retain(|host| hosts.contains_key(host), now);
         let (Some(manifest), Some(name)) = (&leader.manifest, leader.planner.engine_service())
         else {
             return;
--- a/crates/coordinator/src/rates.rs
+++ b/crates/coordinator/src/rates.rs
@@ -22,6 +22,9 @@
 /// Weight of the latest request rate of an entry in the average.
 const RATE_WEIGHT: f64 = 0.05;
 
+/// How long the limit of a host is kept that has not reported to this leader.
+const UNKNOWN_HOST_RETENTION: Duration = Duration::from_secs(60);
+
 /// Divides shared rates among the entries, in proportion to the requests of their callers.
 #[derive(Debug, Default)]
 pub struct RateShares {
@@ -118,8 +121,11 @@
         })
     }
 
-    /// Forgets the hosts for which `is_known` does not hold.
-    pub fn retain(&mut self, is_known: impl Fn(&HostId) -> bool) {
-        self.by_host.retain(|host, _| is_known(host));
+    /// Forgets the hosts for which `is_known` does not hold, unless they said it a short time ago: a
+    /// new leader hears of limits before hosts report to it.
+    pub fn retain(&mut self, is_known: impl Fn(&HostId) -> bool, now: Instant) {
+        self.by_host.retain(|host, (_, _, at)| {
+            is_known(host) || now.saturating_duration_since(*at) < UNKNOWN_HOST_RETENTION
+        });
     }
 }
