Use one encoding of compressed values, and keep the limits of a host together

The log's commands and the manifests of entries each had a compression and an error of their own; fleet::pack and unpack serve both. The choice of a backend server asks the two limiters of a host in one call.

--- a/crates/admission/src/backends.rs
+++ b/crates/admission/src/backends.rs
@@ -108,6 +108,28 @@
     named: RateLimiter,
 }
 
+impl HostLimiters {
+    /// When the limits in force permit the next request, at most `now` if they do now. `None` if
+    /// they permit none of this entry.
+    fn next_at(
+        &mut self,
+        cold: Option<RateLimit>,
+        named: Option<RateLimit>,
+        share: RateShare,
+        offset: f64,
+        now: Instant,
+    ) -> Option<Instant> {
+        let mut next = now;
+        for (limiter, limit) in [(&mut self.cold, cold), (&mut self.named, named)] {
+            if let Some(limit) = limit {
+                limiter.set(limit, share, offset, now);
+                next = next.max(limiter.next_at(now)?);
+            }
+        }
+        Some(next)
+    }
+}
+
 /// The backend servers that an entry may send requests to.
 #[derive(Debug, Default)]
 pub struct Backends {
@@ -206,11 +228,6 @@
         let cold_limit = RateLimit::cold(service.cold_limit.per_s);
         let even = RateShare { start: self.phase, size: 1.0 / self.entries as f64 };
         let rate_share = self.rate_share.unwrap_or(even);
-        // When a limiter permits the next request; `None` if never.
-        let next_at = |limiter: &mut RateLimiter, limit: RateLimit, host: &HostId| {
-            limiter.set(limit, rate_share, host_offset(host), now);
-            limiter.next_at(now)
-        };
         let mut offered = false;
         // When the first of the backend servers may be sent a request again.
         let mut opens_at: Option<Instant> = None;
@@ -231,23 +248,15 @@
             }
             let host = &backend.replica.host;
             let cold = backend.cold_until > now;
+            let cold_limit = cold.then_some(cold_limit);
             let named_limit = self.notices.limit_per_s(&backend.replica).and_then(RateLimit::named);
-            if cold || named_limit.is_some() {
+            if cold_limit.is_some() || named_limit.is_some() {
                 let limiters = self.limiters.entry(host.clone()).or_default();
-                let cold_at = match cold {
-                    true => next_at(&mut limiters.cold, cold_limit, host),
-                    false => Some(now),
-                };
-                let named_at = match named_limit {
-                    Some(limit) => next_at(&mut limiters.named, limit, host),
-                    None => Some(now),
-                };
-                match cold_at.zip(named_at) {
-                    Some((cold_at, named_at)) if cold_at.max(named_at) <= now => {}
-                    next => {
-                        opens_at = earlier(opens_at, next.map(|(a, b)| a.max(b)));
-                        continue;
-                    }
+                let offset = host_offset(host);
+                let next = limiters.next_at(cold_limit, named_limit, rate_share, offset, now);
+                if next.is_none_or(|at| at > now) {
+                    opens_at = earlier(opens_at, next);
+                    continue;
                 }
             }
             opens_at = Some(now);
--- a/crates/coordinator/src/leader/mod.rs
+++ b/crates/coordinator/src/leader/mod.rs
@@ -199,7 +199,7 @@
         let manifest = stored.manifest.clone();
         let engine = manifest.services.iter().find(|service| service.engine.is_some());
         leader.planner.set_engine_service(engine.map(|service| service.name.clone()));
-        let packed = PackedManifest::pack(&manifest);
+        let packed = PackedManifest::new(&manifest);
         info!("event=manifest number={} packed_bytes={}", packed.number(), packed.size());
         leader.distribution.set_manifest(packed.number(), packed.size());
         leader.packed_manifest = Some(packed);
--- a/crates/coordinator/src/ledger.rs
+++ b/crates/coordinator/src/ledger.rs
@@ -1,18 +1,16 @@
 //! The replicated state: the current manifest, the failure domains out of service, and
 //! the groups.
 
-use bincode::error::DecodeError;
 use durable::{decode, encode};
-use fleet::{Departures, GroupChange, GroupName, GroupRecord, Incarnation, Manifest};
-use lz4_flex::block::{DecompressError, compress_prepend_size, decompress_size_prepended};
+use fleet::{
+    Departures, GroupChange, GroupName, GroupRecord, Incarnation, Manifest, UnpackError, pack,
+    unpack,
+};
 use model::ids::{DomainId, HostId};
 use quarantine::{QuarantineChange, QuarantineRecords};
 use serde::{Deserialize, Deserializer, Serialize};
 use serde_with::{Bytes, serde_as};
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    fmt,
-};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Size of an encoded command, in bytes, above which it is compressed.
 const MIN_COMPRESSED_BYTES: usize = 4 << 10;
@@ -48,32 +46,12 @@
     Compressed(#[serde_as(as = "Bytes")] Vec<u8>),
 }
 
-/// The error from decoding a command.
-#[derive(Debug)]
-pub enum CommandError {
-    /// It can't be decompressed.
-    Compression(DecompressError),
-    /// It is not a command, or one of a later version.
-    Encoding(DecodeError),
-}
-
-impl fmt::Display for CommandError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            CommandError::Compression(e) => write!(f, "can't decompress the command: {e}"),
-            CommandError::Encoding(e) => write!(f, "can't decode the command: {e}"),
-        }
-    }
-}
-
-impl std::error::Error for CommandError {}
-
 impl Command {
     /// Encodes the command for the log, compressed if it is large.
     pub fn encode(&self) -> Vec<u8> {
         let data = encode(self);
         match data.len() > MIN_COMPRESSED_BYTES {
-            true => encode(&Command::Compressed(compress_prepend_size(&data))),
+            true => encode(&Command::Compressed(pack(self))),
             false => data,
         }
     }
@@ -83,11 +61,10 @@
     /// # Errors
     ///
     /// Fails if the data is not a command.
-    pub fn decode(data: &[u8]) -> Result<Command, CommandError> {
-        let mut command = decode(data).map_err(CommandError::Encoding)?;
+    pub fn decode(data: &[u8]) -> Result<Command, UnpackError> {
+        let mut command = decode(data).map_err(UnpackError::Encoding)?;
         while let Command::Compressed(data) = command {
-            let data = decompress_size_prepended(&data).map_err(CommandError::Compression)?;
-            command = decode(&data).map_err(CommandError::Encoding)?;
+            command = unpack(&data)?;
         }
         Ok(command)
     }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -18,7 +18,7 @@
 pub use distribution::Distribution;
 pub use driver::{Config, Driver};
 pub use events::{Call, Event, Handle, Reply, SessionId};
-pub use ledger::{Command, CommandError, Ledger, StoredManifest};
+pub use ledger::{Command, Ledger, StoredManifest};
 pub use metrics::Counters;
 pub use rates::{HostLimits, RateShares};
 pub use replog::Tolerance;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,7 +24,7 @@
     ControlGossip, ControlMessage, ENTRY_SESSION_PATH, EntryMessage, EntryStatus, LOG_SESSION_PATH,
     LogMessage,
 };
-pub use packed::{PackedManifest, UnpackError};
+pub use packed::{PackedManifest, UnpackError, pack, unpack};
 pub use rate::{HostLimit, LimitReport, RateShare};
 pub use view::{Replica, RoutingView};
 
--- a/crates/fleet/src/packed.rs
+++ b/crates/fleet/src/packed.rs
@@ -1,12 +1,34 @@
-//! Manifests in the form in which they are sent.
+//! Compressed encoding of large values: manifests as they are sent, and commands in the log.
 
 use crate::Manifest;
 use bincode::{config::standard, error::DecodeError};
 use lz4_flex::block::{DecompressError, compress_prepend_size, decompress_size_prepended};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_with::{Bytes, serde_as};
 use std::{fmt, sync::Arc};
 
+/// Encodes and compresses a value.
+///
+/// # Panics
+///
+/// Panics if the encoding does not support the type, which the first use of the type shows.
+pub fn pack(value: &impl Serialize) -> Vec<u8> {
+    let encoded = bincode::serde::encode_to_vec(value, standard())
+        .expect("encoding into memory fails only for unsupported types");
+    compress_prepend_size(&encoded)
+}
+
+/// Decompresses and decodes a value.
+///
+/// # Errors
+///
+/// Fails if the data is damaged or was packed as another type, for example by another version.
+pub fn unpack<T: DeserializeOwned>(data: &[u8]) -> Result<T, UnpackError> {
+    let encoded = decompress_size_prepended(data).map_err(UnpackError::Compression)?;
+    let decoded = bincode::serde::decode_from_slice(&encoded, standard());
+    decoded.map(|(value, _)| value).map_err(UnpackError::Encoding)
+}
+
 /// A manifest that was encoded and compressed once, for any number of receivers.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,20 +38,20 @@
     data: Arc<Vec<u8>>,
 }
 
-/// The error from unpacking a manifest.
+/// The error from unpacking a value.
 #[derive(Debug)]
 pub enum UnpackError {
     /// The data can't be decompressed.
     Compression(DecompressError),
-    /// The data is not a manifest.
+    /// The data does not encode the type.
     Encoding(DecodeError),
 }
 
 impl fmt::Display for UnpackError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            UnpackError::Compression(e) => write!(f, "can't decompress the manifest: {e}"),
-            UnpackError::Encoding(e) => write!(f, "can't decode the manifest: {e}"),
+            UnpackError::Compression(e) => write!(f, "can't decompress: {e}"),
+            UnpackError::Encoding(e) => write!(f, "can't decode: {e}"),
         }
     }
 }
@@ -38,14 +60,8 @@
 
 impl PackedManifest {
     /// Encodes and compresses a manifest.
-    ///
-    /// # Panics
-    ///
-    /// Panics if the encoding does not support the type, which the first use shows.
-    pub fn pack(manifest: &Manifest) -> PackedManifest {
-        let encoded = bincode::serde::encode_to_vec(manifest, standard())
-            .expect("encoding into memory fails only for unsupported types");
-        PackedManifest { number: manifest.number, data: Arc::new(compress_prepend_size(&encoded)) }
+    pub fn new(manifest: &Manifest) -> PackedManifest {
+        PackedManifest { number: manifest.number, data: Arc::new(pack(manifest)) }
     }
 
     /// Decompresses and decodes the manifest.
@@ -54,10 +70,7 @@
     ///
     /// Fails if the data is damaged or was packed by another version.
     pub fn unpack(&self) -> Result<Manifest, UnpackError> {
-        let encoded = decompress_size_prepended(&self.data).map_err(UnpackError::Compression)?;
-        let (manifest, _) = bincode::serde::decode_from_slice(&encoded, standard())
-            .map_err(UnpackError::Encoding)?;
-        Ok(manifest)
+        unpack(&self.data)
     }
 
     /// The number of the manifest.
