Take up repeated calls for the manifest with the highest number

The number after it was computed to find the calls for later manifests, which overflows for the highest number: in a debug build that ended control, again at each start of a leader; in a release build repeated calls for it were not answered.

--- a/crates/coordinator/src/leader/mod.rs
+++ b/crates/coordinator/src/leader/mod.rs
@@ -237,9 +237,11 @@
     pub(crate) fn resolve_proposed_manifests(&mut self) {
         let number = self.ledger.number();
         if let Some(leader) = &mut self.leader_state {
-            let later = leader.proposed_manifests.split_off(&(number + 1));
-            let applied = std::mem::replace(&mut leader.proposed_manifests, later);
-            leader.replies_after_manifest.extend(applied.into_values().flatten());
+            let mut later = leader.proposed_manifests.split_off(&number);
+            let applied = later.remove(&number).unwrap_or_default();
+            let overtaken = std::mem::replace(&mut leader.proposed_manifests, later);
+            leader.replies_after_manifest.extend(applied);
+            leader.replies_after_manifest.extend(overtaken.into_values().flatten());
         }
     }
 
