Test that a new leader divides rates among all entries

Found in reading the change once more: the leader divides shared rates as soon as the first entry reports, so that one gets all of them for a second, while the others keep the parts that the leader before gave them. For a server that becomes cold, or names its first limit, in that second, both count: up to twice the limit.

--- a/crates/coordinator/tests/driver.rs
+++ b/crates/coordinator/tests/driver.rs
@@ -1,7 +1,11 @@
 //! A driver that leads alone, with a clock of the test.
 
 use async_channel::{Receiver, bounded};
-use base::{clock::Clock, metrics::Metrics, secret::Secret};
+use base::{
+    clock::{Clock, SystemClock},
+    metrics::Metrics,
+    secret::Secret,
+};
 use coordinator::{
     Call, Config, Counters, Driver, Event, Handle, Orders, Reply, StoredManifest, Tolerance,
 };
@@ -187,3 +191,35 @@
         }
     }
 }
+
+/// Guards against a new leader that gives the first entry that reports the whole of each shared
+/// rate, while the others still use the parts that the leader before gave them.
+#[gtest]
+fn run_divides_rates_before_all_entries_have_reported() {
+    let handle = start(Arc::new(SystemClock));
+    let (tx, rx) = bounded(10_000);
+    let (other_tx, _other_rx) = bounded(10_000);
+    handle.send(Event::EntryOpened { session: SESSION, tx });
+    handle.send(Event::EntryOpened { session: SESSION + 1, tx: other_tx });
+    let mut led_at = None;
+    let mut sizes = Vec::new();
+    let end = Instant::now() + Duration::from_secs(4);
+    while Instant::now() < end {
+        handle.send(Event::Entry { session: SESSION, message: status(None) });
+        while let Ok(message) = rx.try_recv() {
+            match message {
+                ControlMessage::NotLeader { .. } => continue,
+                ControlMessage::RateShare(share) => sizes.push(share.size),
+                _ => {}
+            }
+            led_at.get_or_insert(Instant::now());
+        }
+        // An entry finds a new leader within a report interval of the others.
+        if led_at.is_some_and(|at| at.elapsed() > REPORT_EVERY) {
+            handle.send(Event::Entry { session: SESSION + 1, message: status(None) });
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    expect_that!(sizes, not(is_empty()));
+    expect_that!(sizes, each(le(&0.6)));
+}
