--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,4 +4,5 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review/release/late_report
 [ -x "$program" ] || { echo "run review/build.sh first" >&2; exit 2; }
+[ -x target/release/platform-control ] || { echo "run the build of the deploy file first" >&2; exit 2; }
 exec timeout 115 "$program" review/1
--- a/review/stand/src/system.rs
+++ b/review/stand/src/system.rs
@@ -207,6 +207,15 @@
         reply.is_ok_and(|reply| reply.text().lines().any(|line| line == "kingcup_leads 1"))
     }
 
+    /// The size of the log file of the first control process.
+    pub fn log_bytes(&self) -> f64 {
+        let admin = SocketAddr::new(self.controls[0].ip(), ADMIN_PORT);
+        let reply = call(admin, "GET", "/metrics", &[], b"", Duration::from_millis(300));
+        let text = reply.map(|reply| reply.text()).unwrap_or_default();
+        let value = text.lines().find_map(|line| line.strip_prefix("kingcup_log_bytes "));
+        value.and_then(|value| value.trim().parse().ok()).unwrap_or(0.0)
+    }
+
     /// Waits until a condition holds. Returns whether it does in time.
     pub fn wait(&self, time: Duration, condition: impl Fn(&System) -> bool) -> bool {
         let end = Instant::now() + time;
