Show that a new leader forgets the departure of a server it has not heard of

A server says that it is gone to a process that has just become the leader, which acknowledges that without recording it. A late report of the server then brings it back into the routing view.

--- a/review/stand/src/bin/left_server.rs
+++ b/review/stand/src/bin/left_server.rs
@@ -98,7 +98,7 @@
         .collect();
     thread::sleep(Duration::from_secs(4));
     let (stop, counts) = (Arc::new(AtomicBool::new(false)), Arc::new((AtomicUsize::new(0), AtomicUsize::new(0))));
-    let callers: Vec<_> = (0..6)
+    let callers: Vec<_> = (0..12)
         .map(|number| {
             let (entries, stop, counts) = (system.entries.clone(), stop.clone(), counts.clone());
             let record = record.clone();
@@ -139,6 +139,10 @@
         drop(system);
         give_up("the departure was not acknowledged", &record);
     };
+    if trouble && acked_at < killed_at + CONTACT {
+        drop(system);
+        give_up("the departure was acknowledged while the processes were not in touch", &record);
+    }
     record.line(format!("the departure of {} is acknowledged, {:.3} s after the loss", leaver.id, acked_at - killed_at));
     for (node, sequence, body, sent_at) in &late {
         let headers = [("Content-Type", "application/json")];
--- a/review/stand/src/desk.rs
+++ b/review/stand/src/desk.rs
@@ -40,7 +40,7 @@
     pub born: u64,
     sequence: AtomicU64,
     pub reports: AtomicBool,
-    ended: AtomicBool,
+    ended: Arc<AtomicBool>,
     preferred: Mutex<Option<SocketAddr>>,
     connections: Mutex<BTreeMap<u64, TcpStream>>,
     next_connection: AtomicU64,
@@ -62,14 +62,15 @@
             born: SystemTime::now().duration_since(UNIX_EPOCH).expect("a date").as_millis() as u64,
             sequence: AtomicU64::new(0),
             reports: AtomicBool::new(true),
-            ended: AtomicBool::new(false),
+            ended: Arc::default(),
             preferred: Mutex::default(),
             connections: Mutex::default(),
             next_connection: AtomicU64::new(0),
             arrivals: Mutex::default(),
         });
         let server = desk.clone();
-        http::serve(listener, Arc::new(move |request, stream| server.handle(request, stream)));
+        let handler: http::Handler = Arc::new(move |request, stream| server.handle(request, stream));
+        http::serve_until(listener, handler, desk.ended.clone());
         let reporter = desk.clone();
         thread::spawn(move || {
             while !reporter.ended.load(Ordering::SeqCst) {
@@ -131,6 +132,8 @@
     /// Ends the server: its connections end, and it takes no more requests.
     pub fn end(&self) {
         self.ended.store(true, Ordering::SeqCst);
+        // The listener is closed before the connections end.
+        thread::sleep(Duration::from_millis(5));
         for stream in self.connections.lock().expect("the lock").values() {
             let _ = stream.shutdown(Shutdown::Both);
         }
--- a/review/stand/src/http.rs
+++ b/review/stand/src/http.rs
@@ -3,11 +3,17 @@
 use std::{
     io::{self, BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::Duration,
 };
 
+/// How often a listener looks for a new connection.
+const ACCEPT_INTERVAL: Duration = Duration::from_millis(1);
+
 /// A request or a response.
 #[derive(Debug, Clone, Default)]
 pub struct Message {
@@ -146,8 +152,19 @@
 
 /// Serves connections, each on a thread of its own, for as long as the process runs.
 pub fn serve(listener: TcpListener, handler: Handler) {
+    serve_until(listener, handler, Arc::default());
+}
+
+/// The same until `ended` is set. The address then refuses connections.
+pub fn serve_until(listener: TcpListener, handler: Handler, ended: Arc<AtomicBool>) {
+    listener.set_nonblocking(true).expect("a socket option");
     thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
+        while !ended.load(Ordering::SeqCst) {
+            let Ok((stream, _)) = listener.accept() else {
+                thread::sleep(ACCEPT_INTERVAL);
+                continue;
+            };
+            let _ = stream.set_nonblocking(false);
             let handler = handler.clone();
             thread::spawn(move || {
                 let _ = stream.set_nodelay(true);
