--- a/review/stand/src/bin/late_report.rs
+++ b/review/stand/src/bin/late_report.rs
@@ -134,7 +134,7 @@
         .collect();
     thread::sleep(Duration::from_millis(500));
     if trouble {
-        system.kill(leader);
+        system.lose(leader);
         let mut late = std::mem::take(&mut *engines.late.lock().expect("the lock"));
         late.sort_by_key(|late| (late.id.clone(), late.sequence));
         record.line(format!("{} reports are still under way", late.len()));
--- a/review/stand/src/bin/left_server.rs
+++ b/review/stand/src/bin/left_server.rs
@@ -113,7 +113,7 @@
     leaver.reports.store(false, Ordering::SeqCst);
     let killed_at = record.seconds();
     if trouble {
-        system.kill(leader);
+        system.lose(leader);
         // The reports after the loss of the leader go to the other nodes and are under way for seconds.
         for node in &others {
             let (sequence, body) = leaver.report_body("ready");
--- a/review/stand/src/system.rs
+++ b/review/stand/src/system.rs
@@ -178,6 +178,17 @@
         }
     }
 
+    /// Ends a process with SIGKILL, or with SIGTERM as for planned work if `LOSS=term` is set.
+    pub fn lose(&mut self, number: usize) {
+        if env::var("LOSS").is_ok_and(|value| value == "term") {
+            self.signal(number, "TERM");
+            let ended = |child: &mut Child| child.wait().is_ok();
+            self.processes[number].child.take().as_mut().map(ended);
+        } else {
+            self.kill(number);
+        }
+    }
+
     /// Sends a signal to a process.
     pub fn signal(&self, number: usize, signal: &str) {
         if let Some(child) = &self.processes[number].child {
