Show that one server that sends bytes without end stops entries and control

A server that answers with interim responses without end, or with a chunk length without end, keeps the only worker of an entry in one poll, and of each control process that leads.

--- a/review/stand/src/desk.rs
+++ b/review/stand/src/desk.rs
@@ -28,6 +28,15 @@
     pub at: f64,
 }
 
+/// Bytes that are no answer.
+#[derive(Debug, Clone, Copy)]
+pub enum Babble {
+    /// Interim responses.
+    Head,
+    /// A chunk in a body whose length never ends.
+    Body,
+}
+
 /// A backend server of a plain service.
 pub struct Desk {
     pub id: String,
@@ -45,6 +54,8 @@
     connections: Mutex<BTreeMap<u64, TcpStream>>,
     next_connection: AtomicU64,
     pub arrivals: Mutex<Vec<Arrival>>,
+    /// What it answers each request with, without end, if it is in trouble.
+    pub babble: Mutex<Option<Babble>>,
 }
 
 impl Desk {
@@ -67,6 +78,7 @@
             connections: Mutex::default(),
             next_connection: AtomicU64::new(0),
             arrivals: Mutex::default(),
+            babble: Mutex::default(),
         });
         let server = desk.clone();
         let handler: http::Handler = Arc::new(move |request, stream| server.handle(request, stream));
@@ -164,6 +176,11 @@
         let at = self.record.seconds();
         self.arrivals.lock().expect("the lock").push(Arrival { id: id.clone(), at });
         self.record.line(format!("{} runs {} {} of {id}", self.id, request.method(), request.path()));
+        let babble = *self.babble.lock().expect("the lock");
+        if let Some(babble) = babble {
+            self.run_babble(babble, &id, stream);
+            return false;
+        }
         thread::sleep(self.work);
         if self.ended.load(Ordering::SeqCst) {
             return false;
@@ -174,4 +191,28 @@
         let body = format!("{{\"ran\":\"{id}\",\"at\":\"{}\"}}", self.id);
         stream.write_all(response("200 OK", &headers, &body).as_bytes()).is_ok()
     }
+
+    /// Sends bytes that are no answer until the caller closes or the server ends.
+    fn run_babble(&self, babble: Babble, id: &str, stream: &mut TcpStream) {
+        let began = self.record.seconds();
+        let (head, text) = match babble {
+            Babble::Head => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n".repeat(4096)),
+            Babble::Body => {
+                let (echo, receipt) = (names::header("ATTEMPT_ID"), names::receipt_header());
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\n{echo}: {id}\r\n{receipt}: {}.{id}\r\nTransfer-Encoding: chunked\r\n\r\n",
+                    self.id
+                );
+                (head, "0".repeat(100_000))
+            }
+        };
+        let mut bytes = 0_u64;
+        if stream.write_all(head.as_bytes()).is_ok() {
+            while !self.ended.load(Ordering::SeqCst) && stream.write_all(text.as_bytes()).is_ok() {
+                bytes += text.len() as u64;
+            }
+        }
+        let took = self.record.seconds() - began;
+        self.record.line(format!("{} ends its answer to {id} after {bytes} bytes in {took:.3} s", self.id));
+    }
 }
--- a/review/stand/src/engine.rs
+++ b/review/stand/src/engine.rs
@@ -82,6 +82,8 @@
     /// What broke the rule that a server belongs to one group.
     pub broken: Mutex<Vec<String>>,
     pub served: AtomicUsize,
+    /// The server that answers orders and queries with bytes that are no answer, without end.
+    pub babbler: Mutex<Option<String>>,
 }
 
 /// One backend server.
@@ -110,6 +112,7 @@
             late: Mutex::default(),
             broken: Mutex::default(),
             served: AtomicUsize::new(0),
+            babbler: Mutex::default(),
         })
     }
 
@@ -303,6 +306,11 @@
             let _ = stream.write_all(response("421 Misdirected Request", &[], "").as_bytes());
             return true;
         }
+        let is_order = request.path() == names::state_path() || request.path() == names::order_path();
+        if is_order && self.babbles() {
+            self.babble(request, stream);
+            return false;
+        }
         if request.path() == names::state_path() {
             let headers = [("Content-Type", "application/json")];
             return stream.write_all(response("200 OK", &headers, &self.told_state()).as_bytes()).is_ok();
@@ -314,6 +322,24 @@
         self.serve(request, stream)
     }
 
+    fn babbles(&self) -> bool {
+        self.all.babbler.lock().expect("the lock").as_ref() == Some(&self.id)
+    }
+
+    /// Sends a chunk whose length never ends, until the caller closes or the trouble is over.
+    fn babble(&self, request: &Message, stream: &mut TcpStream) {
+        self.all.record.line(format!("{} begins an answer without end to {}", self.id, request.text()));
+        let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let text = "0".repeat(100_000);
+        let mut bytes = 0_u64;
+        if stream.write_all(head.as_bytes()).is_ok() {
+            while self.babbles() && stream.write_all(text.as_bytes()).is_ok() {
+                bytes += text.len() as u64;
+            }
+        }
+        self.all.record.line(format!("{} ends its answer after {bytes} bytes", self.id));
+    }
+
     /// Carries out an order, and returns the status of the answer.
     fn order(self: &Arc<Engine>, text: &str) -> &'static str {
         const BEGUN: &str = "202 Accepted";
