--- a/review/stand/src/bin/stale_read.rs
+++ b/review/stand/src/bin/stale_read.rs
@@ -21,7 +21,7 @@
 };
 
 /// Routes of the configuration.
-const ROUTES: u64 = 1400;
+const ROUTES: u64 = 350;
 /// Concurrent calls of the operator.
 const READERS: usize = 8;
 /// The time for the changes before the restarts.
