--- a/review/stand/src/bin/late_report.rs
+++ b/review/stand/src/bin/late_report.rs
@@ -24,12 +24,14 @@
 const SERVICE: &str = "assist-llm";
 const MODEL: &str = "m-large";
 const KEY: &str = "key-1";
-/// Backend servers in each failure domain, which is one fabric domain.
-const SERVERS: u8 = 9;
+/// Backend servers in each failure domain, in two fabric domains of nine.
+const SERVERS: u8 = 18;
 /// Groups that the servers can form: two of four in each fabric domain.
-const GROUPS: usize = 6;
+const GROUPS: usize = 12;
 /// The time in which the late reports arrive, one after another.
-const LATE_SPREAD: Duration = Duration::from_millis(500);
+const LATE_SPREAD: Duration = Duration::from_millis(450);
+/// The time from the election to the first of them.
+const LATE_BEGIN: Duration = Duration::from_millis(30);
 
 /// A configuration like that of the pages' example, with one engine service.
 fn config(version: u64) -> String {
@@ -113,9 +115,9 @@
         for server in 0..SERVERS {
             let host = 100 + zone * 40 + server;
             let address = format!("{}.{host}:8080", system.net).parse().expect("an address");
-            let (zone, fabric) = (["z-a", "z-b", "z-c"][usize::from(zone)], format!("f-{zone}"));
+            let (zone, fabric) = (["z-a", "z-b", "z-c"][usize::from(zone)], format!("f-{zone}-{}", server / 9));
             engines.start(&format!("i-{host}"), address, zone, &fabric, MODEL, leader + 1);
-            thread::sleep(Duration::from_millis(35));
+            thread::sleep(Duration::from_millis(15));
         }
     }
     if !system.wait(Duration::from_secs(15), |_| engines.open_groups() == GROUPS) {
@@ -150,7 +152,7 @@
             .enumerate()
             .map(|(number, late)| {
                 let engines = engines.clone();
-                let after = LATE_SPREAD * number as u32 / count as u32;
+                let after = LATE_BEGIN + LATE_SPREAD * number as u32 / count as u32;
                 thread::spawn(move || {
                     thread::sleep(after);
                     engines.deliver(&late);
