--- a/review/stand/src/bin/left_server.rs
+++ b/review/stand/src/bin/left_server.rs
@@ -132,10 +132,12 @@
                 acked_at = Some(record.seconds());
                 break;
             }
+            record.line(format!("the departure of {} is not acknowledged by {node}", leaver.id));
         }
         thread::sleep(Duration::from_millis(50));
     }
     let Some(acked_at) = acked_at else {
+        record.line(format!("leader: {:?}, ended: {:?}", system.leader(), system.ended()));
         drop(system);
         give_up("the departure was not acknowledged", &record);
     };
