Bound what one poll reads, and bytes without progress

Callers saw: once an entry had sent one request to a backend server that answers with interim responses or a chunk length without end, the entry answered nobody until that server ended. A control process that gave such a server an order stood still too, and then the next leader.

Cause: a peer decided how long one poll lasts. hyper reads both in a loop that ends when the socket has no more bytes, and the only worker runs everything, timeouts included.

Requests that need no server waited as well, and timers of the same worker were late, which rules out a missing timeout.

Fix: net::Stream, which all connections use, makes a read pending after 32 KiB or eight reads and wakes its task, so that no parser can keep the worker. net::Allowance fails a connection whose peer sends much more than heads and bodies need. The request may have run: 502, no second booking, no evidence of a crash. A body without a deadline has 60 s. kingcup_worker_delay_seconds and event=late_worker show a worker that is kept.

The tests failed before: with both bounds taken out, 4 of 6 in http/tests/endless.rs and 2 of 2 in net/tests/stream.rs fail (return_idle_ and small_chunks guard what held).

--- a/bench/src/sim_cluster.rs
+++ b/bench/src/sim_cluster.rs
@@ -1,8 +1,8 @@
 //! Many simulated backend servers in one process. One address accepts the orders of all of them.
 
 use base::sync::lock;
-use http::{Body, Handler, HandlerFuture, Limits, Server, collect, json_response};
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use http::{Body, Handler, HandlerFuture, Incoming, Limits, Server, collect, json_response};
+use hyper::{Request, Response, StatusCode};
 use model::{announce::Announcement, ids::HostId, order::Order};
 use net::{Pool, Stop, bind};
 use std::{
--- a/bin/control/src/operator.rs
+++ b/bin/control/src/operator.rs
@@ -8,10 +8,10 @@
 use async_channel::bounded;
 use base::{limits::COMMIT_TIMEOUT, secret::Secret, units::parse_duration};
 use http::{
-    Body, Handler, HandlerFuture, Limits, Server, bearer_token, collect, error_response,
+    Body, Handler, HandlerFuture, Incoming, Limits, Server, bearer_token, collect, error_response,
     json_response,
 };
-use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use hyper::{Method, Request, Response, StatusCode};
 use model::{manifest::check_manifest, status::Accepted};
 use net::{Listener, Pool, Stop, with_timeout};
 use serde::{Deserialize, Serialize};
--- a/bin/entry/src/announce.rs
+++ b/bin/entry/src/announce.rs
@@ -2,8 +2,8 @@
 
 use crate::entry_state::EntryState;
 use base::secret::Secret;
-use http::{Body, Handler, HandlerFuture, collect, error_response, json_response};
-use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use http::{Body, Handler, HandlerFuture, Incoming, collect, error_response, json_response};
+use hyper::{Method, Request, Response, StatusCode};
 use model::{announce::Announcement, order::SECRET_HEADER, request::ANNOUNCE_PATH};
 use std::{net::SocketAddr, sync::Arc};
 
--- a/bin/entry/src/caller.rs
+++ b/bin/entry/src/caller.rs
@@ -7,10 +7,9 @@
     refusal::CallerRefusal,
 };
 use bytes::Bytes;
-use http::{Body, Handler, HandlerFuture, collect, json_response, text_response};
+use http::{Body, Handler, HandlerFuture, Incoming, collect, json_response, text_response};
 use hyper::{
     Method, Request, Response, StatusCode,
-    body::Incoming,
     header::{ACCEPT, CONTENT_TYPE, HeaderMap},
     http::request::Parts,
 };
--- a/bin/entry/src/dispatch.rs
+++ b/bin/entry/src/dispatch.rs
@@ -7,10 +7,9 @@
 };
 use base::limits::RESPONSE_MAX;
 use bytes::Bytes;
-use http::{Body, Connection, Framing, collect_response_within, full};
+use http::{Body, Connection, Framing, Incoming, collect_response_within, full};
 use hyper::{
     Request, Response, StatusCode,
-    body::Incoming,
     header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderName, TRANSFER_ENCODING},
     http::request::Parts,
 };
--- a/bin/entry/src/stream.rs
+++ b/bin/entry/src/stream.rs
@@ -6,13 +6,9 @@
 };
 use bytes::Bytes;
 use futures_lite::stream::unfold;
-use http::Body;
+use http::{Body, Incoming};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::{
-    Response,
-    body::{Frame, Incoming},
-    header::CONTENT_TYPE,
-};
+use hyper::{Response, body::Frame, header::CONTENT_TYPE};
 use net::with_timeout;
 use route::Evidence;
 use std::{
--- a/bin/fake/src/admin.rs
+++ b/bin/fake/src/admin.rs
@@ -6,8 +6,10 @@
 };
 use async_channel::Sender;
 use base::{limits::BODY_MAX, metrics::Metrics};
-use http::{Body, Handler, HandlerFuture, collect, error_response, json_response, text_response};
-use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use http::{
+    Body, Handler, HandlerFuture, Incoming, collect, error_response, json_response, text_response,
+};
+use hyper::{Method, Request, Response, StatusCode};
 use prometheus_client::metrics::gauge::Gauge;
 use std::{net::SocketAddr, sync::Arc};
 
--- a/bin/fake/src/backend_api.rs
+++ b/bin/fake/src/backend_api.rs
@@ -5,11 +5,10 @@
 use async_io::Timer;
 use base::limits::BODY_MAX;
 use bytes::Bytes;
-use http::{Body, Handler, HandlerFuture, collect, error_response, json_response};
+use http::{Body, Handler, HandlerFuture, Incoming, collect, error_response, json_response};
 use http_body_util::BodyExt;
 use hyper::{
     Request, Response, StatusCode,
-    body::Incoming,
     header::{HeaderMap, HeaderValue},
 };
 use model::{
--- a/bin/load/src/caller/mod.rs
+++ b/bin/load/src/caller/mod.rs
@@ -13,8 +13,8 @@
 };
 use directory::DirectoryCache;
 use fastrand::Rng;
-use http::{Client, ClientError, Connection};
-use hyper::{Response, body::Incoming};
+use http::{Client, ClientError, Connection, Incoming};
+use hyper::Response;
 use model::request::RAN_HEADER;
 use net::{Pool, with_timeout};
 use request::{GeneratedRequest, build_http_request};
--- a/bin/load/src/caller/response.rs
+++ b/bin/load/src/caller/response.rs
@@ -2,8 +2,9 @@
 
 use super::request::GeneratedRequest;
 use crate::record::Outcome;
+use http::Incoming;
 use http_body_util::BodyExt;
-use hyper::{Response, body::Incoming};
+use hyper::Response;
 use serde_json::Value;
 use std::time::Instant;
 
--- a/crates/base/src/limits.rs
+++ b/crates/base/src/limits.rs
@@ -80,6 +80,9 @@
 /// Timeout for receiving the headers of a caller's request.
 pub const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Timeout for receiving the body of a request that has no deadline of its own.
+pub const BODY_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// Timeout for connecting to another process.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -14,12 +14,11 @@
 use fleet::{Replica, Route, RouteKind};
 use futures_lite::FutureExt;
 use http::{
-    Body, BodyError, ByteBudget, Client, ClientError, Connection, Handler, HandlerFuture, Limits,
-    collect, full,
+    Body, BodyError, ByteBudget, Client, ClientError, Connection, Handler, HandlerFuture, Incoming,
+    Limits, collect, full,
 };
 use hyper::{
     HeaderMap, Method, Request, Response, Uri,
-    body::Incoming,
     header::{self, HeaderName, HeaderValue},
 };
 use log::info;
@@ -224,8 +223,12 @@
         let body = match with_timeout(left, collect(body, limit)).await {
             Ok(Ok(body)) => body,
             Ok(Err(BodyError::TooLong { .. })) => return Err(Refusal::BodyTooLarge),
-            Ok(Err(BodyError::Broken(_))) => return Err(Refusal::BodyTruncated),
-            Err(_) => return Err(Refusal::TimedOut { verdict: Verdict::NotRun }),
+            Ok(Err(BodyError::Broken(_) | BodyError::Unproductive(_))) => {
+                return Err(Refusal::BodyTruncated);
+            }
+            Ok(Err(BodyError::TimedOut)) | Err(_) => {
+                return Err(Refusal::TimedOut { verdict: Verdict::NotRun });
+            }
         };
         let caller = team.as_ref().map(|team| &team.0);
         let digest = request_digest(host_of(&parts), &parts.method, &parts.uri, caller, &body);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -12,11 +12,11 @@
 use bytes::Bytes;
 use fleet::RouteKind;
 use futures_lite::stream;
-use http::{Body, Connection, Framing};
+use http::{Body, Connection, Framing, Incoming, is_unproductive};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{
     HeaderMap, Response,
-    body::{Frame, Incoming},
+    body::Frame,
     header::{self, HeaderValue},
 };
 use log::info;
@@ -105,7 +105,10 @@
 enum ReadResult {
     Bytes(Bytes),
     End,
+    /// The backend server closed the connection, or may have.
     Broken(Box<str>),
+    /// The backend server keeps the connection open and sends what is no part of a response.
+    Unreadable(Box<str>),
     TimedOut,
 }
 
@@ -189,7 +192,11 @@
                     }
                 }
                 Ok(Some(Err(e))) => {
-                    return ReadResult::Broken(e.to_string().replace('"', "'").into());
+                    let cause = e.to_string().replace('"', "'").into();
+                    return match is_unproductive(&e) {
+                        true => ReadResult::Unreadable(cause),
+                        false => ReadResult::Broken(cause),
+                    };
                 }
                 Ok(None) => return ReadResult::End,
                 Err(_) => return ReadResult::TimedOut,
@@ -268,6 +275,11 @@
                         return Some(self.fail(&cause));
                     }
                 }
+                ReadResult::Unreadable(cause) => {
+                    if !self.replace_upstream(&cause).await {
+                        return Some(self.fail(&cause));
+                    }
+                }
                 ReadResult::TimedOut if timeout < remaining => {
                     self.record_failure("no event in time");
                     let upstream = self.upstream.take();
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -75,6 +75,11 @@
         let bytes = match with_timeout(remaining, collected).await {
             Ok(Ok(bytes)) => bytes,
             Ok(Err(e)) => {
+                info!(
+                    "event=answer_unreadable id={} host={host} cause=\"{}\"",
+                    request.info.id,
+                    e.to_string().replace('"', "'")
+                );
                 if matches!(e, BodyError::Broken(_)) {
                     let broken = request.broken(true, false, self.state.clock.now());
                     self.record_broken(&host, address, request.kind, broken).await;
--- a/crates/http/src/admin.rs
+++ b/crates/http/src/admin.rs
@@ -2,16 +2,28 @@
 
 use crate::{
     body::{Body, error_response, json_response, text_response},
+    incoming::Incoming,
     server::{Handler, HandlerFuture, Limits, Server},
 };
+use async_io::Timer;
 use base::metrics::Metrics;
 use hyper::{
     Method, Request, Response, StatusCode,
-    body::Incoming,
     header::{AUTHORIZATION, HeaderMap},
 };
+use log::warn;
 use net::{Listener, Pool, Stop};
-use std::{net::SocketAddr, sync::Arc};
+use prometheus_client::metrics::histogram::Histogram;
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// Interval at which the delay of the workers is measured.
+const DELAY_INTERVAL: Duration = Duration::from_millis(250);
+/// Delay of the workers above which it is logged.
+const LATE_WORKER: Duration = Duration::from_millis(250);
 
 /// A process that the admin endpoint exposes.
 pub trait Dump: Send + Sync {
@@ -71,7 +83,8 @@
     value.as_bytes().strip_prefix(b"Bearer ")
 }
 
-/// Starts serving the admin endpoint, until `stop` is triggered.
+/// Starts serving the admin endpoint, until `stop` is triggered, and measures how long tasks wait for
+/// a worker.
 pub fn serve_admin(
     pool: Pool,
     listener: Listener,
@@ -79,6 +92,8 @@
     dump: Arc<dyn Dump>,
     stop: Stop,
 ) {
+    let help = "time that a task which is due waits for a worker";
+    pool.spawn(measure_delay(metrics.histogram("worker_delay_seconds", help))).detach();
     let server = Server {
         pool,
         listener,
@@ -88,3 +103,20 @@
     };
     pool.spawn(server.run()).detach();
 }
+
+/// Measures how late a task of the pool runs: one that is never pending delays all others.
+async fn measure_delay(delays: Histogram) {
+    loop {
+        let due = Instant::now() + DELAY_INTERVAL;
+        Timer::at(due).await;
+        let delay = due.elapsed();
+        delays.observe(delay.as_secs_f64());
+        if delay > LATE_WORKER {
+            warn!(
+                "event=late_worker delay_ms={} limit_ms={}",
+                delay.as_millis(),
+                LATE_WORKER.as_millis()
+            );
+        }
+    }
+}
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -1,13 +1,19 @@
 //! Request and response bodies.
 
+use crate::{
+    client::with_causes,
+    incoming::{Incoming, is_unproductive},
+};
+use base::limits::BODY_TIMEOUT;
 use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty, Full, combinators::UnsyncBoxBody};
 use hyper::{
     Response, StatusCode,
-    body::{Body as HttpBody, Incoming},
+    body::Body as HttpBody,
     header::{CONTENT_TYPE, HeaderValue},
 };
 use model::status::ErrorBody;
+use net::with_timeout;
 use serde::Serialize;
 use std::{
     fmt, io,
@@ -30,13 +36,27 @@
     },
     /// The connection failed before the end of the body.
     Broken(hyper::Error),
+    /// The peer sent many bytes that were no part of the body.
+    Unproductive(hyper::Error),
+    /// The body did not arrive in time.
+    TimedOut,
+}
+
+impl From<hyper::Error> for BodyError {
+    fn from(e: hyper::Error) -> BodyError {
+        if is_unproductive(&e) { BodyError::Unproductive(e) } else { BodyError::Broken(e) }
+    }
 }
 
 impl fmt::Display for BodyError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             BodyError::TooLong { limit } => write!(f, "the body is longer than {limit} bytes"),
-            BodyError::Broken(e) => write!(f, "the body was truncated: {e}"),
+            BodyError::Broken(e) => write!(f, "the body was truncated: {}", with_causes(e)),
+            BodyError::Unproductive(e) => write!(f, "the body has no end: {}", with_causes(e)),
+            BodyError::TimedOut => {
+                write!(f, "the body did not arrive within {} s", BODY_TIMEOUT.as_secs())
+            }
         }
     }
 }
@@ -90,15 +110,18 @@
 ///
 /// # Errors
 ///
-/// Fails if the body is longer or truncated. The rest of a body that is too long is read and
-/// discarded, up to a limit.
+/// Fails if the body is longer or truncated, or takes longer than `BODY_TIMEOUT`. The rest of a
+/// body that is too long is read and discarded, up to a limit.
 pub async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
     let budget = ByteBudget::new(limit);
-    let collected = collect_up_to(&mut body, limit, &budget).await;
-    if matches!(collected, Err(BodyError::TooLong { .. })) {
-        discard(body).await;
-    }
-    collected
+    let collected = async {
+        let collected = collect_up_to(&mut body, limit, &budget).await;
+        if matches!(collected, Err(BodyError::TooLong { .. })) {
+            discard(body).await;
+        }
+        collected
+    };
+    with_timeout(BODY_TIMEOUT, collected).await.unwrap_or(Err(BodyError::TimedOut))
 }
 
 /// Reads the whole body of a response, of at most `limit` bytes.
@@ -135,7 +158,7 @@
     let mut bytes = BytesMut::new();
     let mut reservation = Reservation { budget, bytes: 0 };
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(BodyError::Broken)?;
+        let frame = frame?;
         let Ok(chunk) = frame.into_data() else {
             continue;
         };
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,20 +1,23 @@
 //! An HTTP client whose errors tell whether the request may have been executed.
 
-use crate::body::Body;
+use crate::{
+    body::Body,
+    incoming::{Incoming, is_unproductive, limit_unproductive},
+};
 use base::{limits::CONNECT_TIMEOUT, sync::lock};
 use hyper::{
     Request, Response,
-    body::Incoming,
     client::conn::http1::{self, SendRequest},
 };
 use model::verdict::Verdict;
-use net::{Pool, connect};
+use net::{Allowance, Pool, connect};
 use smol_hyper::rt::FuturesIo;
 use std::{
     collections::BTreeMap,
+    error::Error,
     fmt, io,
     net::{IpAddr, SocketAddr},
-    sync::Mutex,
+    sync::{Arc, Mutex},
 };
 
 /// Maximum size, in bytes, of the head of a response.
@@ -39,7 +42,8 @@
 
     /// Whether the connection ended before the response, so that the server may have ended too.
     pub fn is_closed_by_peer(&self) -> bool {
-        matches!(self, ClientError::Broken(e) if !e.is_parse() && !e.is_canceled())
+        matches!(self, ClientError::Broken(e)
+            if !e.is_parse() && !e.is_canceled() && !is_unproductive(e))
     }
 
     /// Whether the request may have been executed.
@@ -57,12 +61,23 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             ClientError::Connect(e) => write!(f, "connect: {e}"),
-            ClientError::Broken(e) => write!(f, "connection broken: {e}"),
+            ClientError::Broken(e) => write!(f, "connection broken: {}", with_causes(e)),
         }
     }
 }
 
-impl std::error::Error for ClientError {}
+impl Error for ClientError {}
+
+/// The error text, followed by those of the causes.
+pub(crate) fn with_causes(e: &hyper::Error) -> String {
+    let mut text = e.to_string();
+    let mut cause = e.source();
+    while let Some(e) = cause {
+        text += &format!(": {e}");
+        cause = e.source();
+    }
+    text
+}
 
 impl From<hyper::Error> for ClientError {
     fn from(e: hyper::Error) -> ClientError {
@@ -74,6 +89,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Body>,
+    allowance: Arc<Allowance>,
     reused: bool,
 }
 
@@ -88,7 +104,9 @@
         request: Request<Body>,
     ) -> Result<Response<Incoming>, ClientError> {
         self.sender.ready().await?;
-        Ok(self.sender.send_request(request).await?)
+        self.allowance.reset();
+        let response = self.sender.send_request(request).await?;
+        Ok(response.map(|body| Incoming::new(body, self.allowance.clone())))
     }
 
     /// Whether the connection has already carried a request.
@@ -102,7 +120,7 @@
 pub struct Client {
     pool: Pool,
     from: Option<IpAddr>,
-    idle: Mutex<BTreeMap<SocketAddr, Vec<SendRequest<Body>>>>,
+    idle: Mutex<BTreeMap<SocketAddr, Vec<Connection>>>,
 }
 
 impl Client {
@@ -118,7 +136,7 @@
     /// Fails if no connection can be established.
     pub async fn connection(&self, to: SocketAddr) -> Result<Connection, ClientError> {
         match self.take_idle(to) {
-            Some(sender) => Ok(Connection { sender, reused: true }),
+            Some(connection) => Ok(Connection { reused: true, ..connection }),
             None => self.new_connection(to).await,
         }
     }
@@ -130,6 +148,7 @@
     /// Fails if the connection can't be established.
     pub async fn new_connection(&self, to: SocketAddr) -> Result<Connection, ClientError> {
         let stream = connect(self.from, to, CONNECT_TIMEOUT).await.map_err(ClientError::Connect)?;
+        let allowance = limit_unproductive(&stream, RESPONSE_HEAD_MAX);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(RESPONSE_HEAD_MAX)
             .handshake(FuturesIo::new(stream))
@@ -140,7 +159,7 @@
                 let _ = connection.await;
             })
             .detach();
-        Ok(Connection { sender, reused: false })
+        Ok(Connection { sender, allowance, reused: false })
     }
 
     /// Returns a connection to the idle pool; its last response must have been read to the end.
@@ -149,9 +168,9 @@
             return;
         }
         let mut idle = lock(&self.idle);
-        let senders = idle.entry(to).or_default();
-        if senders.len() < IDLE_MAX {
-            senders.push(connection.sender);
+        let connections = idle.entry(to).or_default();
+        if connections.len() < IDLE_MAX {
+            connections.push(connection);
         }
     }
 
@@ -168,12 +187,12 @@
         self.new_connection(to).await?.send(request).await
     }
 
-    fn take_idle(&self, to: SocketAddr) -> Option<SendRequest<Body>> {
+    fn take_idle(&self, to: SocketAddr) -> Option<Connection> {
         let mut idle = lock(&self.idle);
-        let senders = idle.get_mut(&to)?;
-        while let Some(sender) = senders.pop() {
-            if !sender.is_closed() && sender.is_ready() {
-                return Some(sender);
+        let connections = idle.get_mut(&to)?;
+        while let Some(connection) = connections.pop() {
+            if !connection.sender.is_closed() && connection.sender.is_ready() {
+                return Some(connection);
             }
         }
         idle.remove(&to);
--- a/crates/http/src/framing.rs
+++ b/crates/http/src/framing.rs
@@ -1,10 +1,7 @@
 //! How the end of a response body is marked.
 
-use hyper::{
-    HeaderMap,
-    body::{Body, Incoming},
-    header,
-};
+use crate::incoming::Incoming;
+use hyper::{HeaderMap, body::Body, header};
 
 /// What marks the end of a response body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,6 +4,7 @@
 mod body;
 mod client;
 mod framing;
+mod incoming;
 mod server;
 mod timer;
 
@@ -14,5 +15,6 @@
 };
 pub use client::{Client, ClientError, Connection};
 pub use framing::Framing;
+pub use incoming::{Incoming, is_unproductive};
 pub use server::{Handler, HandlerFuture, Limits, Server};
 pub use timer::AsyncIoTimer;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,13 +1,14 @@
 //! An HTTP server with request limits and graceful shutdown.
 
-use crate::{body::Body, timer::AsyncIoTimer};
+use crate::{
+    body::Body,
+    incoming::{Incoming, limit_unproductive},
+    timer::AsyncIoTimer,
+};
 use base::limits::{BODY_MAX, HEADER_MAX, HEADER_TIMEOUT};
 use futures_lite::{FutureExt, future::Boxed};
 use hyper::{
-    Request, Response, Version,
-    body::{Body as HttpBody, Incoming},
-    server::conn::http1,
-    service::service_fn,
+    Request, Response, Version, body::Body as HttpBody, server::conn::http1, service::service_fn,
 };
 use net::{Listener, Pool, Stop, Stream, set_reset_on_close};
 use smol_hyper::rt::FuturesIo;
@@ -122,7 +123,10 @@
     let socket = &stream;
     let resets = AtomicBool::new(false);
     let resets_on_close = &resets;
-    let service = service_fn(move |request: Request<Incoming>| {
+    let buffer_bytes = limits.header_bytes.max(HEADER_BUFFER_MIN);
+    let allowance = limit_unproductive(socket, buffer_bytes);
+    let service = service_fn(move |request: Request<hyper::body::Incoming>| {
+        let request = request.map(|body| Incoming::new(body, allowance.clone()));
         let guard = in_flight.enter();
         let handler = handler.clone();
         let knows_chunks = request.version() >= Version::HTTP_11;
@@ -141,7 +145,7 @@
     let connection = http1::Builder::new()
         .timer(AsyncIoTimer)
         .header_read_timeout(limits.header_timeout)
-        .max_buf_size(limits.header_bytes.max(HEADER_BUFFER_MIN))
+        .max_buf_size(buffer_bytes)
         .serve_connection(FuturesIo::new(socket), service);
     let mut connection = pin!(connection);
     let finished = async { Some(connection.as_mut().await) };
--- a/crates/net/src/connect.rs
+++ b/crates/net/src/connect.rs
@@ -1,5 +1,6 @@
 //! Outgoing TCP connections, optionally bound to a source address.
 
+use crate::Stream;
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
 use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
@@ -19,9 +20,6 @@
 /// Number of unanswered probes after which the connection fails.
 const KEEPALIVE_PROBES: u32 = 2;
 
-/// A TCP connection.
-pub type Stream = Async<TcpStream>;
-
 /// Connects to `to` from the source address `from`, within `timeout`.
 ///
 /// # Errors
@@ -44,7 +42,7 @@
         Err(e) if is_in_progress(&e) => {}
         Err(e) => return Err(e),
     }
-    let stream = Async::new(TcpStream::from(socket))?;
+    let stream = Stream::new(Async::new(TcpStream::from(socket))?);
     let established = async {
         stream.writable().await?;
         match stream.get_ref().take_error()? {
--- a/crates/net/src/listen.rs
+++ b/crates/net/src/listen.rs
@@ -1,14 +1,8 @@
 //! Listening sockets.
 
-use async_io::Async;
+use crate::Listener;
 use miette::{Report, miette};
-use std::{
-    io,
-    net::{SocketAddr, TcpListener},
-};
-
-/// A listening TCP socket.
-pub type Listener = Async<TcpListener>;
+use std::{io, net::SocketAddr};
 
 /// Binds a listening socket to `address`, which the given flag specified.
 ///
@@ -16,7 +10,7 @@
 ///
 /// Returns an error that names the flag, the address and the cause, with a hint on how to fix it.
 pub fn bind(flag: &str, address: SocketAddr) -> Result<Listener, Report> {
-    Async::<TcpListener>::bind(address).map_err(|e| bind_error(flag, address, &e))
+    Listener::bind(address).map_err(|e| bind_error(flag, address, &e))
 }
 
 fn bind_error(flag: &str, address: SocketAddr, e: &io::Error) -> Report {
