Take memberships of hosts only with proof

Callers and operators saw: after a change of leader, members of open groups were ordered into other groups (TWO), and the open groups were cut off.

Cause: a report that is seconds late superseded the state with which its sender had answered the new leader's query, which was stored with sequence 0. The planner took a head that reports no group for closed and freed its members.

Fix: the registry keeps whether a membership is certain. Epochs only rise while a host runs, and the answer to a query is not older than the query, but for a lag; a report that contradicts them makes the leader query the host. Hosts are used, and groups end without an order, only with a certain membership. A head counts as closed once it confirms the order, not by a report that came later.

--- a/crates/coordinator/src/driver.rs
+++ b/crates/coordinator/src/driver.rs
@@ -209,8 +209,8 @@
             Event::Entry { session, message } => self.handle_entry_message(session, message, now),
             Event::EntryClosed { session } => self.handle_entry_closed(session),
             Event::OrderDone(outcome) => self.handle_order_outcome(&outcome, now),
-            Event::MemberState { term, member, state } => {
-                self.handle_member_state(term, &member, state, now);
+            Event::HostState { term, host, queried_at, state } => {
+                self.handle_host_state(term, &host, queried_at, state, now);
             }
             Event::Call { call, reply } => self.handle_call(call, reply, now),
             Event::Seeds(seeds) => {
--- a/crates/coordinator/src/events.rs
+++ b/crates/coordinator/src/events.rs
@@ -2,10 +2,10 @@
 
 use crate::ledger::{Command, StoredManifest};
 use async_channel::{Receiver, Sender, bounded};
-use fleet::{ControlMessage, EntryMessage, GroupMember, HostReport, HostState, LogMessage};
+use fleet::{ControlMessage, EntryMessage, HostReport, HostState, LogMessage};
 use groups::OrderOutcome;
 use model::ids::HostId;
-use std::{net::SocketAddr, sync::mpsc};
+use std::{net::SocketAddr, sync::mpsc, time::Instant};
 
 /// Identifies one session with an entry.
 pub type SessionId = u64;
@@ -36,12 +36,14 @@
     },
     /// The outcome of an order that was sent.
     OrderDone(OrderOutcome),
-    /// The outcome of a state query to a group member.
-    MemberState {
+    /// The outcome of a state query to a host.
+    HostState {
         /// The term of the leader that sent the query.
         term: u64,
-        /// The member.
-        member: GroupMember,
+        /// The host.
+        host: HostId,
+        /// When the query was sent.
+        queried_at: Instant,
         /// The state of its engine, or `None` if it didn't answer.
         state: Option<HostState>,
     },
--- a/crates/coordinator/src/leader/hosts.rs
+++ b/crates/coordinator/src/leader/hosts.rs
@@ -7,33 +7,53 @@
     ledger::Command,
 };
 use async_channel::Sender;
-use fleet::{GroupMember, HostReport, HostState, OrderKind};
+use fleet::{HostReport, HostState, OrderKind};
 use groups::{HostUse, OrderOutcome, OrderResult};
 use log::info;
 use model::ids::HostId;
-use std::time::Instant;
+use std::{net::SocketAddr, time::Instant};
 
 impl Driver {
     /// Queries the state of all group members: they report only at intervals, and entries
     /// without a view wait for this leader.
     pub(super) fn query_members(&self) {
-        let term = self.log.node.term();
-        for member in self.ledger.groups.values().flat_map(|record| &record.members).cloned() {
-            let answer = self.orders.query_state(&member.host, member.address);
-            let handle = self.handle.clone();
-            self.pool
-                .spawn(async move {
-                    let state = answer.await;
-                    handle.send(Event::MemberState { term, member, state });
-                })
-                .detach();
+        for member in self.ledger.groups.values().flat_map(|record| &record.members) {
+            self.query(member.host.clone(), member.address);
         }
     }
 
-    pub(crate) fn handle_member_state(
+    /// Queries the hosts whose reports don't say for certain which group they are in.
+    pub(super) fn query_unconfirmed(&mut self, now: Instant) {
+        let Some(leader) = &mut self.leader_state else {
+            return;
+        };
+        let due = leader.planner.unconfirmed_hosts(&leader.registry, now);
+        for (host, _) in &due {
+            leader.registry.record_query(host, now);
+        }
+        for (host, address) in due {
+            self.query(host, address);
+        }
+    }
+
+    fn query(&self, host: HostId, address: SocketAddr) {
+        let (term, queried_at) = (self.log.node.term(), self.clock.now());
+        let answer = self.orders.query_state(&host, address);
+        let handle = self.handle.clone();
+        self.counters.queries.inc();
+        self.pool
+            .spawn(async move {
+                let state = answer.await;
+                handle.send(Event::HostState { term, host, queried_at, state });
+            })
+            .detach();
+    }
+
+    pub(crate) fn handle_host_state(
         &mut self,
         term: u64,
-        member: &GroupMember,
+        host: &HostId,
+        queried_at: Instant,
         state: Option<HostState>,
         now: Instant,
     ) {
@@ -42,16 +62,17 @@
             return;
         };
         let Some(state) = state else {
-            info!("event=host_asked host={} answer=none", member.host);
+            info!("event=host_asked host={host} answer=none");
             return;
         };
+        let mut members = self.ledger.groups.values().flat_map(|record| &record.members);
+        let member = members.find(|member| member.host == *host);
+        let place = member.zip(leader.planner.engine_service());
         let membership = format!("{:?}", state.membership);
-        if let Some(service) = leader.planner.engine_service()
-            && leader.registry.record_state(member, service, state, now)
-        {
-            info!("event=host_asked host={} answer=taken part=\"{membership}\"", member.host);
-            leader.changed = true;
-        }
+        let is_taken = leader.registry.record_state(host, place, state, queried_at, now);
+        let answer = if is_taken { "taken" } else { "outdated" };
+        info!("event=host_asked host={host} answer={answer} part=\"{membership}\"");
+        leader.changed |= is_taken;
     }
 
     pub(crate) fn handle_report(&mut self, report: HostReport, reply: Sender<Reply>, now: Instant) {
@@ -70,13 +91,18 @@
                 || old.staged != report.staged
         });
         let host = report.host.clone();
+        let reported = report.membership.clone();
         if !leader.registry.record_report(report, now) {
             self.counters.reports_stale.inc();
         } else if has_changed {
-            let report = &leader.registry.hosts()[&host].report;
+            let status = &leader.registry.hosts()[&host];
+            let report = &status.report;
             info!(
-                "event=host host={host} leaving={leaving} fabric={:?} staged={:?} part=\"{:?}\"",
-                report.fabric, report.staged, report.membership
+                "event=host host={host} leaving={leaving} fabric={:?} staged={:?} part=\"{:?}\" reported=\"{reported:?}\" certain={}",
+                report.fabric,
+                report.staged,
+                report.membership,
+                status.is_certain()
             );
             leader.changed = true;
         }
@@ -128,6 +154,7 @@
         if outcome.order.kind == OrderKind::Probe && unanswered {
             leader.registry.suspect(&outcome.order.host);
         }
+        leader.registry.record_order(&outcome.order.host, outcome.left(), now);
         // The outcome of an order of an earlier term must not complete one of this term.
         if outcome.order.fence == self.log.node.term() {
             leader.planner.record_outcome(outcome, &leader.registry, now);
--- a/crates/coordinator/src/leader/mod.rs
+++ b/crates/coordinator/src/leader/mod.rs
@@ -16,7 +16,7 @@
 use async_channel::Sender;
 use entries::send_or_close;
 use fleet::{ControlMessage, EntryStatus, GroupName, Manifest, PackedManifest, RoutingView};
-use groups::{OrderOutcome, Phase, Planner, PlannerInput, Registry};
+use groups::{HostHistory, OrderOutcome, Phase, Planner, PlannerInput, Registry};
 use log::info;
 use serde_json::json;
 use std::{
@@ -123,7 +123,10 @@
         self.counters.leads.set(1);
         self.leader_state = Some(LeaderState {
             since: now,
-            registry: Registry::new(self.ledger.departures.clone()),
+            registry: Registry::new(HostHistory {
+                departures: self.ledger.departures.clone(),
+                has_formed_groups: self.ledger.has_formed_groups(),
+            }),
             planner: Planner::resume(
                 self.log.node.term(),
                 self.config.limits.clone(),
@@ -278,6 +281,7 @@
             leader.planned_at = now;
             leader.changed = false;
             self.plan(now);
+            self.query_unconfirmed(now);
             self.publish(learned, now);
             self.schedule_next_plan(now);
         }
--- a/crates/coordinator/src/ledger.rs
+++ b/crates/coordinator/src/ledger.rs
@@ -3,8 +3,8 @@
 
 use durable::{decode, encode};
 use fleet::{
-    Departures, GroupChange, GroupName, GroupRecord, Incarnation, Manifest, UnpackError, pack,
-    unpack,
+    Departures, Epoch, GroupChange, GroupName, GroupRecord, Incarnation, Manifest, UnpackError,
+    pack, unpack,
 };
 use model::ids::{DomainId, HostId};
 use quarantine::{QuarantineChange, QuarantineRecords};
@@ -87,6 +87,9 @@
     /// The hosts that have said that they end.
     #[serde(deserialize_with = "default_at_end")]
     pub departures: Departures,
+    /// The highest epoch of all groups so far.
+    #[serde(deserialize_with = "default_at_end")]
+    pub last_epoch: Epoch,
 }
 
 /// Reads one of the last fields of a state, which snapshots of earlier versions don't have.
@@ -120,6 +123,7 @@
                 let in_other_group =
                     record.members.iter().find(|member| self.group_of(&member.host).is_some());
                 assert!(in_other_group.is_none(), "a host in two groups: {in_other_group:?}");
+                self.last_epoch = self.last_epoch.max(record.epoch);
                 self.groups.insert(name, record);
             }
             Command::Group(GroupChange::Ended { name }) => {
@@ -140,6 +144,12 @@
         self.groups.iter().find(|(_, record)| contains_host(record)).map(|(name, _)| name)
     }
 
+    /// Whether any group was ever formed.
+    pub fn has_formed_groups(&self) -> bool {
+        // Snapshots of earlier versions lack the last epoch.
+        self.last_epoch > 0 || !self.groups.is_empty()
+    }
+
     /// Returns the number of the current manifest, or 0 if there is none.
     pub fn number(&self) -> u64 {
         self.manifest.as_ref().map_or(0, |stored| stored.manifest.number)
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -14,5 +14,5 @@
 
 pub use limits::Limits;
 pub use planner::{HostUse, OrderOutcome, OrderResult, Phase, Planner, PlannerInput, Step};
-pub use registry::{HostStatus, Registry};
+pub use registry::{HostHistory, HostStatus, Registry};
 pub use view::{EntrySummary, routing_view};
--- a/crates/groups/src/planner/formation.rs
+++ b/crates/groups/src/planner/formation.rs
@@ -51,6 +51,7 @@
             let is_orphaned = report.membership.as_ref().is_some_and(|part| self.is_orphaned(part));
             let is_free = !self.is_plain(&report.service)
                 && !is_orphaned
+                && status.is_certain()
                 && status.is_present(self.limits.member_timeout, input.now)
                 && !report.leaving
                 && !input.domains_out.contains(&report.domain)
@@ -126,7 +127,6 @@
             open_sent: None,
             open_unconfirmed: false,
             close_sent: None,
-            close_retry_at: None,
             closed: false,
             last_probe: None,
         };
--- a/crates/groups/src/planner/group.rs
+++ b/crates/groups/src/planner/group.rs
@@ -41,10 +41,8 @@
     pub(super) open_sent: Option<Instant>,
     /// Whether an order to open may still take effect later.
     pub(super) open_unconfirmed: bool,
-    /// When the head was first ordered to close while it served.
+    /// When the head was last ordered to close.
     pub(super) close_sent: Option<Instant>,
-    /// No further order to close is sent before this time.
-    pub(super) close_retry_at: Option<Instant>,
     /// Whether the head has certainly closed.
     pub(super) closed: bool,
     pub(super) last_probe: Option<Instant>,
@@ -55,8 +53,10 @@
 pub(super) enum MemberStatus {
     /// It reports this group, in the given state.
     Joined(MemberState),
-    /// It reports another group or none.
+    /// It is certainly in another group or none.
     NotJoined,
+    /// It reported another group or none, which may be long past.
+    Unconfirmed,
     /// It has not reported for too long, or left a probe unanswered.
     Silent,
     /// It was replaced, or a later incarnation of it has reported.
@@ -88,7 +88,6 @@
             open_sent: Some(now),
             open_unconfirmed: true,
             close_sent: None,
-            close_retry_at: None,
             closed: false,
             last_probe: None,
         }
--- a/crates/groups/src/planner/mod.rs
+++ b/crates/groups/src/planner/mod.rs
@@ -12,11 +12,12 @@
 pub use host_use::HostUse;
 pub use outcome::{OrderOutcome, OrderResult};
 
-use crate::{Limits, Registry, loads::LoadLimiter};
+use crate::{HostStatus, Limits, Registry, loads::LoadLimiter};
 use fleet::{Engine, Epoch, GroupChange, GroupName, GroupRecord, HostOrder, OrderKind};
 use model::ids::{DomainId, HostId, ModelId, ServiceId};
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     time::Instant,
 };
 
@@ -162,6 +163,25 @@
         Step { changes, orders }
     }
 
+    /// The engine hosts whose membership must be known for certain and isn't, with their addresses:
+    /// their state has to be queried.
+    pub fn unconfirmed_hosts(
+        &self,
+        registry: &Registry,
+        now: Instant,
+    ) -> Vec<(HostId, SocketAddr)> {
+        let timeout = self.limits.member_timeout;
+        let is_due = |(host, status): &(&HostId, &HostStatus)| {
+            !status.is_certain()
+                && status.may_be_queried(now)
+                && status.is_present(timeout, now)
+                && !self.is_plain(&status.report.service)
+                && !self.pending.contains(*host)
+        };
+        let due = registry.hosts().iter().filter(is_due);
+        due.map(|(host, status)| (host.clone(), status.report.address)).collect()
+    }
+
     fn group_mut(&mut self, name: &GroupName, epoch: Epoch) -> Option<&mut Group> {
         self.groups.get_mut(name).filter(|group| group.epoch == epoch)
     }
--- a/crates/groups/src/planner/outcome.rs
+++ b/crates/groups/src/planner/outcome.rs
@@ -32,6 +32,18 @@
     pub result: OrderResult,
 }
 
+impl OrderOutcome {
+    /// The epoch of the group that the host has left by this order, if it has.
+    pub fn left(&self) -> Option<Epoch> {
+        match (&self.order.kind, self.result) {
+            (OrderKind::Leave { epoch, .. }, OrderResult::Begun | OrderResult::Done) => {
+                Some(*epoch)
+            }
+            _ => None,
+        }
+    }
+}
+
 impl Planner {
     /// Records the outcome of an order.
     pub fn record_outcome(&mut self, outcome: &OrderOutcome, registry: &Registry, now: Instant) {
--- a/crates/groups/src/planner/reconcile.rs
+++ b/crates/groups/src/planner/reconcile.rs
@@ -125,7 +125,7 @@
         }
         let lost = members.iter().any(|member| match member {
             // While the head makes progress, the member runs: only control has lost contact.
-            MemberStatus::Silent => !is_progressing,
+            MemberStatus::Silent | MemberStatus::Unconfirmed => !is_progressing,
             MemberStatus::Terminated | MemberStatus::NotJoined => true,
             MemberStatus::Joined(state) => *state == MemberState::Broken,
         });
@@ -151,17 +151,14 @@
             MemberStatus::Joined(MemberState::Broken) if !group.open_unconfirmed => {
                 self.end_closed(name);
             }
-            MemberStatus::Joined(state) => {
-                let last_report = input.registry.hosts().get(head).map(|status| status.last_report);
-                let reported_closed = state == MemberState::Ready
-                    && group.close_sent.is_some_and(|at| last_report.is_some_and(|last| last > at));
-                if !(group.closed || reported_closed) {
+            MemberStatus::Joined(_) | MemberStatus::Unconfirmed => {
+                if !group.closed {
                     let cut = cut || self.has_lost_member(group, members, input);
                     let kind = OrderKind::Close { group: name.clone(), epoch: group.epoch, cut };
-                    let is_due = group.close_retry_at.is_none_or(|at| at <= input.now);
-                    if is_due && self.order(head, kind, input, orders) {
-                        let serves = matches!(state, MemberState::Open | MemberState::Closing);
-                        self.record_close(name, serves, input.now);
+                    if self.is_close_due(group, members[0], input)
+                        && self.order(head, kind, input, orders)
+                    {
+                        self.record_close(name, input.now);
                     }
                 } else if group.open_unconfirmed {
                     // Once the head has left the group, a delayed order to open has no effect.
@@ -187,19 +184,27 @@
     ) -> bool {
         let hosts = input.registry.hosts();
         group.members.iter().zip(members).any(|(host, member)| match member {
-            MemberStatus::Joined(_) => false,
+            MemberStatus::Joined(_) | MemberStatus::Unconfirmed => false,
             MemberStatus::Silent => !hosts.get(host).is_some_and(|status| status.departed),
             MemberStatus::Terminated | MemberStatus::NotJoined => true,
         })
     }
 
-    fn record_close(&mut self, name: &GroupName, serves: bool, now: Instant) {
-        let retry_at = now + self.limits.resend_delay;
+    /// Whether to order the head to close, again if it has not confirmed that it has. A report of a
+    /// head that has closed may be older than the order, but shows that it is time to ask.
+    fn is_close_due(&self, group: &Group, head: MemberStatus, input: &PlannerInput<'_>) -> bool {
+        let Some(sent_at) = group.close_sent else {
+            return true;
+        };
+        let status = input.registry.hosts().get(&group.members[0]);
+        let has_reported = status.is_some_and(|status| status.last_report > sent_at);
+        let reports_closed = head == MemberStatus::Joined(MemberState::Ready) && has_reported;
+        reports_closed || input.now >= sent_at + self.limits.resend_delay
+    }
+
+    fn record_close(&mut self, name: &GroupName, now: Instant) {
         if let Some(group) = self.groups.get_mut(name) {
-            group.close_retry_at = Some(retry_at);
-            if serves {
-                group.close_sent.get_or_insert(now);
-            }
+            group.close_sent = Some(now);
         }
     }
 
@@ -253,7 +258,10 @@
             Some(part) if part.group == *name && part.epoch == group.epoch => {
                 MemberStatus::Joined(part.state)
             }
-            _ => MemberStatus::NotJoined,
+            // Epochs only rise, so a later group is proof.
+            Some(part) if part.epoch > group.epoch => MemberStatus::NotJoined,
+            _ if status.is_certain() => MemberStatus::NotJoined,
+            _ => MemberStatus::Unconfirmed,
         }
     }
 }
--- a/crates/groups/src/registry.rs
+++ b/crates/groups/src/registry.rs
@@ -1,7 +1,13 @@
-//! The latest reports of hosts.
+//! What the leader knows of hosts: their latest reports, and how certain these are.
+//!
+//! A report may be under way for seconds. Its sequence says which of two reports is newer, but
+//! those that an earlier leader has received are unknown to the next one, so that the first report
+//! that it receives may describe a state long past. What a host answers to a query of this leader is
+//! not older than the query, and the epoch of a host's groups only rises while it runs. A membership
+//! counts as certain if one of these proves it.
 
 use crate::Limits;
-use fleet::{Departures, GroupMember, HostReport, HostState, Incarnation};
+use fleet::{Departures, Epoch, GroupMember, HostReport, HostState, Incarnation, Membership};
 use model::ids::{HostId, ServiceId};
 use std::{
     collections::BTreeMap,
@@ -25,6 +31,15 @@
     pub departed: bool,
     /// Whether it left a probe unanswered since its latest report.
     pub suspect: bool,
+    /// Whether the membership in `report` is certain: no earlier leader can have changed it, or the
+    /// host has answered a query of this leader.
+    is_confirmed: bool,
+    /// Whether a report contradicts the membership in `report`, and may be older or newer.
+    is_disputed: bool,
+    /// When the last query was sent.
+    queried_at: Option<Instant>,
+    /// When the last order ended.
+    ordered_at: Option<Instant>,
 }
 
 impl HostStatus {
@@ -39,6 +54,37 @@
     pub fn cold_remaining(&self, now: Instant) -> Duration {
         self.cold_until.saturating_duration_since(now)
     }
+
+    /// Whether the membership in `report` is the current one, but for orders of this leader.
+    pub fn is_certain(&self) -> bool {
+        self.is_confirmed && !self.is_disputed
+    }
+
+    /// Whether a query may be sent, whose answer would show the outcome of the last order.
+    pub fn may_be_queried(&self, now: Instant) -> bool {
+        let is_due = |at: Option<Instant>, delay| at.is_none_or(|at| now >= at + delay);
+        is_due(self.queried_at, QUERY_INTERVAL) && is_due(self.ordered_at, ANSWER_LAG)
+    }
+}
+
+/// Time between two queries of the same host.
+const QUERY_INTERVAL: Duration = Duration::from_millis(400);
+/// How much older than the query the state in an answer may be.
+const ANSWER_LAG: Duration = Duration::from_millis(500);
+
+/// The epoch of a membership. It only rises while a host runs, except that a host may leave its
+/// group.
+fn epoch_of(membership: Option<&Membership>) -> Option<Epoch> {
+    membership.map(|membership| membership.epoch)
+}
+
+/// What the log says of hosts when a leader begins.
+#[derive(Debug, Clone, Default)]
+pub struct HostHistory {
+    /// The hosts that have said that they end.
+    pub departures: Departures,
+    /// Whether any group was ever formed, so that hosts may be in groups that they don't report.
+    pub has_formed_groups: bool,
 }
 
 /// All hosts that have reported to this leader.
@@ -46,13 +92,13 @@
 pub struct Registry {
     hosts: BTreeMap<HostId, HostStatus>,
     by_address: BTreeMap<SocketAddr, HostId>,
-    departures: Departures,
+    history: HostHistory,
 }
 
 impl Registry {
-    /// Creates a registry that knows which hosts have said that they end.
-    pub fn new(departures: Departures) -> Registry {
-        Registry { departures, ..Registry::default() }
+    /// Creates a registry that knows what the log says of hosts.
+    pub fn new(history: HostHistory) -> Registry {
+        Registry { history, ..Registry::default() }
     }
 
     /// The status of each host.
@@ -62,44 +108,111 @@
 
     /// Stores a report; returns whether it was accepted. A report is refused if a later one
     /// of the same host or a later incarnation at the same address is known, or if this
-    /// incarnation of the host has departed or was replaced.
+    /// incarnation of the host has departed or was replaced. A membership that contradicts a
+    /// certain one is not taken from a report: the host must be queried.
     pub fn record_report(&mut self, report: HostReport, now: Instant) -> bool {
-        !self.departures.contains(&report.host, report.incarnation) && self.store(report, now)
+        let departures = &self.history.departures;
+        !departures.contains(&report.host, report.incarnation) && self.store(report, now)
     }
 
-    fn store(&mut self, report: HostReport, now: Instant) -> bool {
-        if let Some(status) = self.hosts.get(&report.host) {
-            let same_incarnation = status.report.incarnation == report.incarnation;
-            let ended = status.replaced || status.departed;
-            if !report.supersedes(&status.report) || (ended && same_incarnation) {
-                return false;
+    fn store(&mut self, mut report: HostReport, now: Instant) -> bool {
+        let known = self.hosts.get(&report.host);
+        let known = match known {
+            Some(status) if !report.supersedes(&status.report) => return false,
+            Some(status) if status.report.incarnation == report.incarnation => {
+                if status.replaced || status.departed {
+                    return false;
+                }
+                Some(status)
             }
+            _ => None,
+        };
+        let reported = epoch_of(report.membership.as_ref());
+        let is_older =
+            known.is_some_and(|status| reported < epoch_of(status.report.membership.as_ref()));
+        if let Some(status) = known.filter(|_| is_older) {
+            report.membership = status.report.membership.clone();
         }
-        if !self.claim_address(&report) {
-            return false;
-        }
+        let (queried_at, ordered_at) =
+            known.map_or((None, None), |status| (status.queried_at, status.ordered_at));
         let status = HostStatus {
             last_report: now,
             cold_until: now + report.cold_remaining,
             replaced: false,
             departed: false,
             suspect: false,
+            is_confirmed: known
+                .map_or(!self.history.has_formed_groups, |status| status.is_confirmed),
+            is_disputed: is_older || known.is_some_and(|status| status.is_disputed),
+            queried_at,
+            ordered_at,
             report,
         };
+        if !self.claim_address(&status.report) {
+            return false;
+        }
         self.hosts.insert(status.report.host.clone(), status);
         true
     }
 
-    /// Stores the state with which a member of a group answered a new leader, unless the host
-    /// has reported by then; returns whether it was stored. The next report supersedes it.
+    /// Notes that a query is sent to a host now.
+    pub fn record_query(&mut self, host: &str, now: Instant) {
+        if let Some(status) = self.hosts.get_mut(host) {
+            status.queried_at = Some(now);
+        }
+    }
+
+    /// Notes that an order to a host has ended, whatever its outcome: an answer to an earlier query
+    /// does not show it. After an order to leave `left`, the host is in no group.
+    pub fn record_order(&mut self, host: &str, left: Option<Epoch>, now: Instant) {
+        let Some(status) = self.hosts.get_mut(host) else {
+            return;
+        };
+        status.ordered_at = Some(now);
+        if left.is_some() && left == epoch_of(status.report.membership.as_ref()) {
+            status.report.membership = None;
+        }
+    }
+
+    /// Stores the state with which a host answered a query that this leader sent at `queried_at`;
+    /// returns whether it was accepted. The host must be known, or `member` say where it is.
     pub fn record_state(
+        &mut self,
+        host: &HostId,
+        member: Option<(&GroupMember, &ServiceId)>,
+        state: HostState,
+        queried_at: Instant,
+        now: Instant,
+    ) -> bool {
+        match self.hosts.get_mut(host) {
+            Some(status) if status.replaced => false,
+            Some(status) if status.report.incarnation == state.incarnation => {
+                if status.ordered_at.is_some_and(|at| queried_at < at + ANSWER_LAG) {
+                    return false;
+                }
+                status.report.staged = state.staged;
+                status.report.last_model = state.last_model;
+                status.report.membership = state.membership;
+                status.last_report = now;
+                (status.suspect, status.is_confirmed, status.is_disputed) = (false, true, false);
+                true
+            }
+            // The next report of a later incarnation says the rest.
+            Some(_) => false,
+            None => member
+                .is_some_and(|(member, service)| self.store_member(member, service, state, now)),
+        }
+    }
+
+    /// Stores the state of a member of a group that has not reported. The next report supersedes it.
+    fn store_member(
         &mut self,
         member: &GroupMember,
         service: &ServiceId,
         state: HostState,
         now: Instant,
     ) -> bool {
-        if self.hosts.contains_key(&member.host) || self.by_address.contains_key(&member.address) {
+        if self.by_address.contains_key(&member.address) {
             return false;
         }
         let report = HostReport {
@@ -118,16 +231,21 @@
             membership: state.membership,
         };
         let incarnation = report.incarnation;
-        let stored = self.store(report, now);
-        if stored && self.departures.contains(&member.host, incarnation) {
+        if !self.store(report, now) {
+            return false;
+        }
+        if let Some(status) = self.hosts.get_mut(&member.host) {
+            status.is_confirmed = true;
+        }
+        if self.history.departures.contains(&member.host, incarnation) {
             self.mark_departed(&member.host, incarnation);
         }
-        stored
+        true
     }
 
     /// Marks an incarnation of a host that said that it ends.
     pub fn mark_departed(&mut self, host: &HostId, incarnation: Incarnation) {
-        self.departures.record(host.clone(), incarnation);
+        self.history.departures.record(host.clone(), incarnation);
         if let Some(status) = self.hosts.get_mut(host)
             && status.report.incarnation <= incarnation
         {
--- a/crates/groups/tests/lifecycle.rs
+++ b/crates/groups/tests/lifecycle.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use engine::SimConfig;
-use fleet::GroupName;
+use fleet::{GroupName, MemberState};
 use googletest::prelude::*;
 use groups::{HostStatus, HostUse};
 use model::ids::{DomainId, FabricId, HostId, ModelId};
@@ -424,3 +424,56 @@
     expect_that!(world.serving(), not(contains(eq(&name))));
     expect_that!(world.cluster.violations, is_empty());
 }
+
+/// Guards against a new leader that takes late reports for the state of hosts, and orders members of
+/// an open group into another one.
+#[gtest]
+fn resume_late_reports_of_members_of_open_groups() {
+    for latest_first in [false, true] {
+        for is_queried_before in [false, true] {
+            let mut world = World::new(&SimConfig { domains: 3, fabrics: 2, hosts: 9 }, 22);
+            world.sent_reports = Some(Vec::new());
+            world.report_all();
+            let before_groups = world.now + Duration::from_millis(40);
+            world.run_ms(6000);
+            world.cluster.has_traffic = true;
+            let before = world.serving();
+            expect_that!(before, not(is_empty()));
+            world.change_leader();
+            if is_queried_before {
+                world.query_members();
+                world.run_ms(40);
+            }
+            world.deliver_late_reports(before_groups, latest_first);
+            world.run_ms(40);
+            world.query_members();
+            world.run_ms(4000);
+            expect_that!(world.cluster.violations, is_empty());
+            expect_that!(world.serving(), eq(&before));
+        }
+    }
+}
+
+/// Guards against a late report, of a head that was not open yet, that passes for the close of its
+/// group while it finishes its work.
+#[gtest]
+fn step_late_report_of_a_closing_head() {
+    let mut world = World::formed(24);
+    let name = group_of(&world, 4);
+    let members = world.members_of(&name);
+    let head = world.cluster.host_mut(&members[0]).expect("a host");
+    head.busy = true;
+    world.cluster.host_mut(&members[1]).expect("a host").leaving = true;
+    world.report_all();
+    world.run_ms(200);
+    let mut report = world.registry.hosts()[&members[0]].report.clone();
+    report.sequence += 1;
+    let membership = report.membership.as_mut().expect("a group");
+    expect_that!(membership.state, eq(MemberState::Closing));
+    membership.state = MemberState::Ready;
+    let now = world.now;
+    expect_true!(world.registry.record_report(report, now));
+    world.run_ms(600);
+    expect_that!(world.cluster.violations, is_empty());
+    expect_true!(world.records.contains_key(&name), "the head has not finished its work");
+}
--- a/crates/groups/tests/random.rs
+++ b/crates/groups/tests/random.rs
@@ -1,5 +1,5 @@
 //! Randomised planner runs with failed, restarted, unreachable and leaving hosts, leader
-//! changes, delayed orders, and failure domains taken out and put back.
+//! changes, delayed orders, late reports, and failure domains taken out and put back.
 //!
 //! `KINGCUP_CASES=N` runs N cases instead of the default number.
 
@@ -8,7 +8,7 @@
 use engine::SimConfig;
 use fastrand::Rng;
 use model::ids::HostId;
-use std::env;
+use std::{env, time::Duration};
 use world::World;
 
 const DEFAULT_CASES: u64 = 40;
@@ -29,6 +29,7 @@
     let mut rng = Rng::with_seed(seed);
     let config = SimConfig { domains: rng.usize(1..=3), fabrics: rng.usize(1..=2), hosts: 9 };
     let mut world = World::new(&config, seed);
+    world.sent_reports = Some(Vec::new());
     world.run_ms(6000);
     world.cluster.has_traffic = true;
     world.delayed_percent = if rng.bool() { 0 } else { rng.u8(1..40) };
@@ -50,7 +51,7 @@
 fn inject_fault(world: &mut World, rng: &mut Rng) {
     let ids: Vec<HostId> = world.cluster.hosts().keys().cloned().collect();
     let id = ids[rng.usize(..ids.len())].clone();
-    match rng.u8(0..12) {
+    match rng.u8(0..14) {
         0..=2 => world.cluster.host_mut(&id).expect("a host").alive = false,
         3 => world.cluster.restart(&id),
         4 | 5 => {
@@ -72,6 +73,15 @@
             world.depart(&id);
         }
         8 => world.change_leader(),
+        12 => {
+            world.change_leader();
+            if rng.bool() {
+                world.query_members();
+                world.run_ms(rng.u64(20..100));
+            }
+            deliver_late_reports(world, rng);
+        }
+        13 => deliver_late_reports(world, rng),
         _ => {
             let domain = world.cluster.hosts().len() % 3;
             world.domains_out = [format!("d{domain}").into()].into();
@@ -84,6 +94,14 @@
     world.stalled = stalled.collect();
 }
 
+/// Delivers reports that were sent up to eight seconds ago.
+fn deliver_late_reports(world: &mut World, rng: &mut Rng) {
+    let age = Duration::from_millis(rng.u64(500..8000));
+    if let Some(until) = world.now.checked_sub(age) {
+        world.deliver_late_reports(until, rng.bool());
+    }
+}
+
 fn end_faults(world: &mut World) {
     world.delayed_percent = 0;
     world.domains_out.clear();
--- a/crates/groups/tests/world/mod.rs
+++ b/crates/groups/tests/world/mod.rs
@@ -4,8 +4,10 @@
 
 use engine::{SimCluster, SimConfig, sample_engine};
 use fastrand::Rng;
-use fleet::{Departures, GroupChange, GroupName, GroupRecord, HostOrder, HostState, OrderKind};
-use groups::{Limits, OrderOutcome, OrderResult, Phase, Planner, PlannerInput, Registry};
+use fleet::{GroupChange, GroupName, GroupRecord, HostOrder, HostReport, HostState, OrderKind};
+use groups::{
+    HostHistory, Limits, OrderOutcome, OrderResult, Phase, Planner, PlannerInput, Registry,
+};
 use model::ids::{DomainId, HostId};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -21,8 +23,8 @@
     pub cluster: SimCluster,
     pub planner: Planner,
     pub registry: Registry,
-    /// The departures in the log.
-    departures: Departures,
+    /// What the log says of hosts.
+    pub history: HostHistory,
     pub records: BTreeMap<GroupName, GroupRecord>,
     pub domains_out: BTreeSet<DomainId>,
     pub stalled: BTreeSet<GroupName>,
@@ -41,6 +43,10 @@
     next_reports: BTreeMap<HostId, Instant>,
     outcomes: Vec<(Instant, OrderOutcome)>,
     delayed_orders: Vec<(Instant, HostOrder)>,
+    /// Answers to queries, with the times at which they arrive and at which the queries were sent.
+    answers: Vec<(Instant, Instant, HostId, HostState)>,
+    /// All reports so far, if they are kept.
+    pub sent_reports: Option<Vec<(Instant, HostReport)>>,
 }
 
 impl World {
@@ -51,7 +57,7 @@
             cluster: SimCluster::new(config, sample_engine()),
             planner: Planner::resume(1, limits.clone(), &BTreeMap::new(), now),
             registry: Registry::default(),
-            departures: Departures::default(),
+            history: HostHistory::default(),
             records: BTreeMap::new(),
             domains_out: BTreeSet::new(),
             stalled: BTreeSet::new(),
@@ -67,6 +73,8 @@
             next_reports: BTreeMap::new(),
             outcomes: Vec::new(),
             delayed_orders: Vec::new(),
+            answers: Vec::new(),
+            sent_reports: None,
         };
         world.planner.set_engine_service(Some(world.cluster.service.clone()));
         world.report_all();
@@ -95,7 +103,7 @@
             let offset = REPORT_EVERY.mul_f64(self.rng.f64());
             self.next_reports.insert(id.clone(), self.now + offset);
             if let Some(report) = self.cluster.report(&id) {
-                self.registry.record_report(report, self.now);
+                self.record_report(report);
             }
         }
     }
@@ -106,14 +114,15 @@
             return;
         };
         self.registry.mark_departed(host, report.incarnation);
-        self.departures.record(host.clone(), report.incarnation);
+        self.history.departures.record(host.clone(), report.incarnation);
     }
 
     /// Replaces the leader. The new one knows the log, and each host only from its next report.
     pub fn change_leader(&mut self) {
         self.term += 1;
-        self.registry = Registry::new(self.departures.clone());
+        self.registry = Registry::new(self.history.clone());
         self.outcomes.clear();
+        self.answers.clear();
         self.planner = Planner::resume(self.term, self.limits.clone(), &self.records, self.now);
         self.planner.set_engine_service(Some(self.cluster.service.clone()));
     }
@@ -121,16 +130,46 @@
     /// Lets the new leader query the state of the members of all groups.
     pub fn query_members(&mut self) {
         for member in self.records.values().flat_map(|record| &record.members) {
-            let Some(report) = self.cluster.report(&member.host) else {
+            let Some(state) = state_of(&mut self.cluster, &member.host) else {
                 continue;
             };
-            let state = HostState {
-                incarnation: report.incarnation,
-                staged: report.staged,
-                last_model: report.last_model,
-                membership: report.membership,
-            };
-            self.registry.record_state(member, &self.cluster.service, state, self.now);
+            let place = Some((member, &self.cluster.service));
+            self.registry.record_state(&member.host, place, state, self.now, self.now);
+        }
+    }
+
+    /// Delivers the reports that were sent before `until`, the latest of each host first or last.
+    pub fn deliver_late_reports(&mut self, until: Instant, latest_first: bool) {
+        let sent = self.sent_reports.clone().unwrap_or_default();
+        let mut late: Vec<_> = sent.into_iter().filter(|(at, _)| *at < until).collect();
+        if latest_first {
+            late.reverse();
+        }
+        for (_, report) in late {
+            self.registry.record_report(report, self.now);
+        }
+    }
+
+    fn record_report(&mut self, report: HostReport) {
+        if let Some(sent) = &mut self.sent_reports {
+            sent.push((self.now, report.clone()));
+        }
+        self.registry.record_report(report, self.now);
+    }
+
+    /// Sends the queries that are due, and delivers answers.
+    fn query(&mut self) {
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.answers).into_iter().partition(|(at, ..)| *at <= self.now);
+        self.answers = later;
+        for (_, queried_at, host, state) in due {
+            self.registry.record_state(&host, None, state, queried_at, self.now);
+        }
+        for (host, _) in self.planner.unconfirmed_hosts(&self.registry, self.now) {
+            self.registry.record_query(&host, self.now);
+            if let Some(state) = state_of(&mut self.cluster, &host) {
+                self.answers.push((self.now + 2 * STEP, self.now, host, state));
+            }
         }
     }
 
@@ -156,7 +195,7 @@
         self.execute_delayed_orders();
         self.record_due_reports();
         for report in self.cluster.take_reports() {
-            self.registry.record_report(report, self.now);
+            self.record_report(report);
         }
         let (due, later): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.outcomes).into_iter().partition(|(at, _)| *at <= self.now);
@@ -166,8 +205,10 @@
             if outcome.order.kind == OrderKind::Probe && unanswered {
                 self.registry.suspect(&outcome.order.host);
             }
+            self.registry.record_order(&outcome.order.host, outcome.left(), self.now);
             self.planner.record_outcome(&outcome, &self.registry, self.now);
         }
+        self.query();
         self.plan();
     }
 
@@ -195,6 +236,7 @@
                         assert!(!taken, "the log has {host} in two groups");
                     }
                     self.records.insert(name.clone(), record);
+                    self.history.has_formed_groups = true;
                     self.planner.committed(&name);
                 }
                 GroupChange::Ended { name } => {
@@ -248,8 +290,19 @@
             }
             *at = self.now + REPORT_EVERY;
             if let Some(report) = self.cluster.report(&id) {
-                self.registry.record_report(report, self.now);
+                self.record_report(report);
             }
         }
     }
 }
+
+/// What a host answers to a query, if it reaches control.
+fn state_of(cluster: &mut SimCluster, host: &HostId) -> Option<HostState> {
+    let report = cluster.report(host)?;
+    Some(HostState {
+        incarnation: report.incarnation,
+        staged: report.staged,
+        last_model: report.last_model,
+        membership: report.membership,
+    })
+}
