Record what hosts say of their end before it is acknowledged

Callers saw: bookings reached a backend server for seconds after it had said that it is gone, until it exited, and some were cut off.

Cause: a departure names no incarnation. A new leader that had not heard of the host acknowledged it without recording anything, and a report from before brought the host back. That a host leaves and goes on reporting was known to one leader alone.

Fix: the departure of an unknown host is recorded for all its runs until now, as incarnations are start times. Leaving is recorded like departing. A host that goes on reporting for 15 s is used again, since a departure may be late too; it was never used before.

run_late_report_after_the_departure_of_an_unknown_host, run_late_report_of_a_leaving_host and run_late_departure_of_an_earlier_incarnation failed before (with the three changes taken out).

--- a/crates/coordinator/src/driver.rs
+++ b/crates/coordinator/src/driver.rs
@@ -420,6 +420,8 @@
         Command::Quarantine(QuarantineChange::End(_)) => "quarantine_ended",
         Command::Quarantine(QuarantineChange::Forget(_)) => "quarantine_forgotten",
         Command::HostLeft(..) => "host_left",
+        Command::HostLeaving(..) => "host_leaving",
+        Command::HostReturned(_) => "host_returned",
         Command::Compressed(_) => "compressed",
     }
 }
--- a/crates/coordinator/src/leader/hosts.rs
+++ b/crates/coordinator/src/leader/hosts.rs
@@ -7,11 +7,14 @@
     ledger::Command,
 };
 use async_channel::Sender;
-use fleet::{HostReport, HostState, OrderKind};
+use fleet::{HostReport, HostState, Incarnation, OrderKind};
 use groups::{HostUse, OrderOutcome, OrderResult};
 use log::info;
 use model::ids::HostId;
-use std::{net::SocketAddr, time::Instant};
+use std::{
+    net::SocketAddr,
+    time::{Instant, SystemTime},
+};
 
 impl Driver {
     /// Queries the state of all group members: they report only at intervals, and entries
@@ -90,7 +93,8 @@
                 || old.leaving != report.leaving
                 || old.staged != report.staged
         });
-        let host = report.host.clone();
+        let (host, incarnation) = (report.host.clone(), report.incarnation);
+        let has_returned = leader.registry.has_returned(&report, now);
         let reported = report.membership.clone();
         if !leader.registry.record_report(report, now) {
             self.counters.reports_stale.inc();
@@ -106,11 +110,20 @@
             );
             leader.changed = true;
         }
-        if leaving {
+        if has_returned {
+            info!("event=host_returned host={host} incarnation={incarnation}");
+            leader.registry.mark_returned(&host);
+            let _ = reply.try_send(Reply::Done);
+            self.propose(&Command::HostReturned(host), None);
+        } else if !leaving {
+            let _ = reply.try_send(Reply::Done);
+        } else if self.ledger.leaving.contains(&host, incarnation) {
             // A repeated report may come before the view that follows the first one.
             leader.replies_after_view.push(reply);
         } else {
-            let _ = reply.try_send(Reply::Done);
+            // A later leader may hear of it only from reports of before.
+            leader.registry.mark_leaving(&host, incarnation);
+            self.propose(&Command::HostLeaving(host, incarnation), Some(reply));
         }
     }
 
@@ -124,15 +137,19 @@
         let members = self.ledger.groups.values().flat_map(|record| &record.members);
         let of_member =
             members.filter(|member| member.host == *host).map(|member| member.incarnation).max();
-        match known.max(of_member) {
-            Some(incarnation) if !self.ledger.departures.contains(host, incarnation) => {
-                info!("event=host_left host={host} incarnation={incarnation}");
-                leader.registry.mark_departed(host, incarnation);
-                // A host says so only once, so a later leader must find it in the log.
-                self.propose(&Command::HostLeft(host.clone(), incarnation), Some(reply));
-            }
-            _ => leader.replies_after_view.push(reply),
+        // The departure of a host that this leader has not heard of concerns any incarnation so far:
+        // reports of before may still arrive. The time of day may be wrong.
+        let latest = leader.registry.hosts().values().map(|status| status.report.incarnation).max();
+        let so_far = || unix_millis(self.clock.wall()).max(latest.unwrap_or_default());
+        let incarnation = known.max(of_member).unwrap_or_else(so_far);
+        if self.ledger.departures.contains(host, incarnation) {
+            leader.replies_after_view.push(reply);
+            return;
         }
+        info!("event=host_left host={host} incarnation={incarnation} known={}", known.is_some());
+        leader.registry.mark_departed(host, incarnation);
+        // A host says so only once, so a later leader must find it in the log.
+        self.propose(&Command::HostLeft(host.clone(), incarnation), Some(reply));
     }
 
     pub(crate) fn handle_order_outcome(&mut self, outcome: &OrderOutcome, now: Instant) {
@@ -184,3 +201,9 @@
         info!("event=hosts{line}");
     }
 }
+
+/// The incarnation of a host that starts at `time`.
+fn unix_millis(time: SystemTime) -> Incarnation {
+    let since_epoch = time.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(Incarnation::MAX)
+}
--- a/crates/coordinator/src/leader/mod.rs
+++ b/crates/coordinator/src/leader/mod.rs
@@ -125,6 +125,7 @@
             since: now,
             registry: Registry::new(HostHistory {
                 departures: self.ledger.departures.clone(),
+                leaving: self.ledger.leaving.clone(),
                 has_formed_groups: self.ledger.has_formed_groups(),
             }),
             planner: Planner::resume(
--- a/crates/coordinator/src/ledger.rs
+++ b/crates/coordinator/src/ledger.rs
@@ -44,6 +44,10 @@
     HostLeft(HostId, Incarnation),
     /// An encoded command, compressed.
     Compressed(#[serde_as(as = "Bytes")] Vec<u8>),
+    /// Records that an incarnation of a host has said that it leaves.
+    HostLeaving(HostId, Incarnation),
+    /// Records that a host has not ended, although it seemed to have said so.
+    HostReturned(HostId),
 }
 
 impl Command {
@@ -87,6 +91,9 @@
     /// The hosts that have said that they end.
     #[serde(deserialize_with = "default_at_end")]
     pub departures: Departures,
+    /// The hosts that have said that they leave, and go on reporting.
+    #[serde(deserialize_with = "default_at_end")]
+    pub leaving: Departures,
     /// The highest epoch of all groups so far.
     #[serde(deserialize_with = "default_at_end")]
     pub last_epoch: Epoch,
@@ -131,6 +138,8 @@
             }
             Command::Quarantine(change) => self.quarantine.apply(index, change),
             Command::HostLeft(host, incarnation) => self.departures.record(host, incarnation),
+            Command::HostLeaving(host, incarnation) => self.leaving.record(host, incarnation),
+            Command::HostReturned(host) => self.departures.remove(&host),
             // `Command::decode` returns what it contains.
             Command::Compressed(_) => {}
         }
--- a/crates/coordinator/tests/driver.rs
+++ b/crates/coordinator/tests/driver.rs
@@ -20,12 +20,18 @@
 use net::start_pool;
 use peer::Links;
 use std::{
+    cell::RefCell,
     net::SocketAddr,
-    sync::{Arc, Mutex},
-    thread,
+    path::Path,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread::{self, JoinHandle},
     time::{Duration, Instant, SystemTime},
 };
 use store::Store;
+use tempfile::TempDir;
 
 const SESSION: u64 = 1;
 const REPORT_EVERY: Duration = Duration::from_millis(100);
@@ -112,10 +118,14 @@
 
 /// Starts a driver on an empty disk. It stops when the process does.
 fn start(clock: Arc<dyn Clock>) -> Handle {
+    start_on(&tempfile::tempdir().expect("a directory").keep(), clock).0
+}
+
+/// Starts a driver that leads with what the log on a disk says. It stops at an event.
+fn start_on(disk: &Path, clock: Arc<dyn Clock>) -> (Handle, JoinHandle<()>) {
     let pool = start_pool(1).expect("a pool");
     let address = SocketAddr::from(([127, 0, 0, 1], 1));
-    let disk = tempfile::tempdir().expect("a directory").keep();
-    let (store, loaded) = Store::open(&disk, 7).expect("an empty store");
+    let (store, loaded) = Store::open(disk, 7).expect("a store");
     let (handle, events) = Handle::new();
     let config = Config {
         name: "c".into(),
@@ -141,8 +151,70 @@
         counters,
         clock,
     );
-    thread::spawn(move || driver.run(&events));
-    handle
+    let thread = thread::spawn(move || driver.run(&events).expect("the disk works"));
+    (handle, thread)
+}
+
+/// The driver of a leader that others follow, and what its entry was told.
+struct Leaders {
+    disk: TempDir,
+    clock: Arc<dyn Clock>,
+    running: Option<(Handle, JoinHandle<()>)>,
+    messages: Receiver<ControlMessage>,
+    /// The last view of this leader.
+    view: RefCell<RoutingView>,
+}
+
+impl Leaders {
+    fn start(clock: Arc<dyn Clock>) -> Leaders {
+        let disk = tempfile::tempdir().expect("a directory");
+        let view = RefCell::default();
+        let mut leaders = Leaders { disk, clock, running: None, messages: bounded(1).1, view };
+        leaders.change();
+        let stored = StoredManifest { body: Vec::new(), manifest: manifest() };
+        leaders.call(|| Call::manifest(stored.clone()));
+        leaders
+    }
+
+    /// Replaces the leader by one that knows the log only.
+    fn change(&mut self) {
+        if let Some((handle, thread)) = self.running.take() {
+            handle.send(Event::Stop);
+            thread.join().expect("no panic");
+        }
+        let (tx, messages) = bounded(10_000);
+        let (handle, thread) = start_on(self.disk.path(), self.clock.clone());
+        handle.send(Event::EntryOpened { session: SESSION, tx });
+        handle.send(Event::Entry { session: SESSION, message: status(Some(1)) });
+        self.running = Some((handle, thread));
+        self.messages = messages;
+        self.view.take();
+    }
+
+    fn call(&self, make: impl Fn() -> Call) {
+        call(&self.running.as_ref().expect("a leader").0, make);
+    }
+
+    /// Whether the last view offers a host, once the leader has had time to send one.
+    fn offers(&self, host: &str) -> bool {
+        let address = SocketAddr::from(([127, 0, 0, 1], 9001));
+        self.call(|| {
+            Call::Report(HostReport { address, ..report("other", next_sequence(), true) })
+        });
+        let mut view = self.view.borrow_mut();
+        while let Ok(message) = self.messages.try_recv() {
+            if let ControlMessage::View(latest) = message {
+                *view = latest;
+            }
+        }
+        view.replicas.iter().any(|replica| &*replica.host == host)
+    }
+}
+
+/// A number above those of all earlier calls.
+fn next_sequence() -> u64 {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    NEXT.fetch_add(1, Ordering::Relaxed)
 }
 
 fn wait_for(reply: &Receiver<Reply>) -> Option<Reply> {
@@ -192,6 +264,63 @@
     }
 }
 
+/// Guards against a departure that a new leader acknowledges for a host that it has not heard of, and
+/// forgets: a late report brought the host back.
+#[gtest]
+fn run_late_report_after_the_departure_of_an_unknown_host() {
+    let mut leaders = Leaders::start(Arc::new(SystemClock));
+    leaders.call(|| Call::Report(report("h", 1, false)));
+    leaders.change();
+    leaders.call(|| Call::Left("h".into()));
+    leaders.call(|| Call::Report(report("h", 2, false)));
+    expect_false!(leaders.offers("h"));
+    leaders.change();
+    leaders.call(|| Call::Report(report("h", 3, false)));
+    expect_false!(leaders.offers("h"));
+    // Its next run starts later.
+    let started = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).expect("a time");
+    let incarnation = started.as_millis() as u64 + 1;
+    leaders.call(|| Call::Report(HostReport { incarnation, ..report("h", 1, false) }));
+    expect_true!(leaders.offers("h"));
+}
+
+/// Guards against a host that says that it leaves to one leader, and is used again by the next one
+/// after a late report.
+#[gtest]
+fn run_late_report_of_a_leaving_host() {
+    let mut leaders = Leaders::start(Arc::new(SystemClock));
+    leaders.call(|| Call::Report(report("h", 1, false)));
+    expect_true!(leaders.offers("h"));
+    leaders.call(|| Call::Report(report("h", 3, true)));
+    expect_false!(leaders.offers("h"));
+    leaders.change();
+    leaders.call(|| Call::Report(report("h", 2, false)));
+    expect_false!(leaders.offers("h"));
+    leaders.call(|| Call::Report(HostReport { incarnation: 2, ..report("h", 1, false) }));
+    expect_true!(leaders.offers("h"));
+}
+
+/// Guards against a departure that arrives after its host has started again under the same id, and
+/// keeps the host unused for ever.
+#[gtest]
+fn run_late_departure_of_an_earlier_incarnation() {
+    let now = Mutex::new(Instant::now());
+    let leaders = Leaders::start(Arc::new(SlowHost { now, step: Duration::from_millis(20) }));
+    leaders.call(|| Call::Report(report("h", 1, false)));
+    leaders.call(|| Call::Left("h".into()));
+    leaders.call(|| Call::Report(report("h", 2, false)));
+    expect_false!(leaders.offers("h"));
+    // A report that was under way when the host departed, and its repetition, change nothing.
+    for _ in 0..400 {
+        leaders.call(|| Call::Report(report("h", 3, false)));
+    }
+    expect_false!(leaders.offers("h"));
+    for sequence in 4..400 {
+        leaders.call(|| Call::Report(report("h", sequence, false)));
+    }
+    expect_true!(leaders.offers("h"));
+}
+
 /// Guards against a new leader that gives the first entry that reports the whole of each shared
 /// rate, while the others still use the parts that the leader before gave them.
 #[gtest]
--- a/crates/fleet/src/departures.rs
+++ b/crates/fleet/src/departures.rs
@@ -26,6 +26,11 @@
         }
     }
 
+    /// Forgets the departure of a host.
+    pub fn remove(&mut self, host: &HostId) {
+        self.0.remove(host);
+    }
+
     /// Whether an incarnation of a host has departed.
     pub fn contains(&self, host: &HostId, incarnation: Incarnation) -> bool {
         self.0.get(host).is_some_and(|departed| incarnation <= *departed)
--- a/crates/groups/src/registry.rs
+++ b/crates/groups/src/registry.rs
@@ -72,6 +72,12 @@
 /// How much older than the query the state in an answer may be.
 const ANSWER_LAG: Duration = Duration::from_millis(500);
 
+/// Time for which a host must go on reporting after its departure to be used again, longer than a
+/// report may be under way. The departure was that of an earlier incarnation then, which arrived late.
+const RETURN_DELAY: Duration = Duration::from_secs(15);
+/// The least number of reports in that time.
+const RETURN_REPORTS: u32 = 5;
+
 /// The epoch of a membership. It only rises while a host runs, except that a host may leave its
 /// group.
 fn epoch_of(membership: Option<&Membership>) -> Option<Epoch> {
@@ -83,6 +89,8 @@
 pub struct HostHistory {
     /// The hosts that have said that they end.
     pub departures: Departures,
+    /// The hosts that have said that they leave, and go on reporting.
+    pub leaving: Departures,
     /// Whether any group was ever formed, so that hosts may be in groups that they don't report.
     pub has_formed_groups: bool,
 }
@@ -93,6 +101,17 @@
     hosts: BTreeMap<HostId, HostStatus>,
     by_address: BTreeMap<SocketAddr, HostId>,
     history: HostHistory,
+    /// The hosts that report although they have departed.
+    returning: BTreeMap<HostId, Returning>,
+}
+
+/// The reports of a host since its departure.
+#[derive(Debug)]
+struct Returning {
+    incarnation: Incarnation,
+    sequence: u64,
+    first_at: Instant,
+    reports: u32,
 }
 
 impl Registry {
@@ -127,6 +146,7 @@
             }
             _ => None,
         };
+        report.leaving |= self.history.leaving.contains(&report.host, report.incarnation);
         let reported = epoch_of(report.membership.as_ref());
         let is_older =
             known.is_some_and(|status| reported < epoch_of(status.report.membership.as_ref()));
@@ -254,6 +274,46 @@
         }
     }
 
+    /// Marks an incarnation of a host that said that it leaves.
+    pub fn mark_leaving(&mut self, host: &HostId, incarnation: Incarnation) {
+        self.history.leaving.record(host.clone(), incarnation);
+        if let Some(status) = self.hosts.get_mut(host) {
+            status.report.leaving |= status.report.incarnation <= incarnation;
+        }
+    }
+
+    /// Whether a refused report shows that its host has not departed: it goes on reporting, for
+    /// longer than reports of before its departure may be under way.
+    pub fn has_returned(&mut self, report: &HostReport, now: Instant) -> bool {
+        let HostReport { host, incarnation, sequence, leaving, .. } = report;
+        if *leaving || !self.history.departures.contains(host, *incarnation) {
+            return false;
+        }
+        let first =
+            Returning { incarnation: *incarnation, sequence: *sequence, first_at: now, reports: 0 };
+        let seen = self.returning.entry(host.clone()).or_insert(first);
+        if seen.incarnation < *incarnation {
+            *seen = Returning { incarnation: *incarnation, first_at: now, reports: 0, ..*seen };
+        } else if seen.incarnation > *incarnation
+            || (seen.reports > 0 && seen.sequence >= *sequence)
+        {
+            return false;
+        }
+        seen.sequence = *sequence;
+        seen.reports += 1;
+        let reporting_for = now.saturating_duration_since(seen.first_at);
+        seen.reports >= RETURN_REPORTS && reporting_for >= RETURN_DELAY
+    }
+
+    /// Uses a host again whose departure was that of an earlier incarnation.
+    pub fn mark_returned(&mut self, host: &HostId) {
+        self.returning.remove(host);
+        self.history.departures.remove(host);
+        if let Some(status) = self.hosts.get_mut(host) {
+            status.departed = false;
+        }
+    }
+
     /// Marks a host that left a probe unanswered; its next report clears the mark.
     pub fn suspect(&mut self, host: &str) {
         if let Some(status) = self.hosts.get_mut(host) {
@@ -266,6 +326,9 @@
         self.hosts.retain(|_, status| {
             now.saturating_duration_since(status.last_report) <= limits.host_retention
         });
+        self.returning.retain(|_, seen| {
+            now.saturating_duration_since(seen.first_at) <= limits.host_retention
+        });
         let hosts = &self.hosts;
         self.by_address.retain(|_, host| hosts.contains_key(host));
     }
