Hold a lease only once committed entries are delivered

Cause: holds_lease looked at the commit index. A follower's reply commits the first entry of a term in the middle of a batch of events, and calls in the rest of the batch were answered from a state to which nothing had been applied yet.

Fix: holds_lease requires that an entry of the term has been delivered, after which the caller's state has all committed entries of earlier terms.

holds_lease_before_committed_entries_are_delivered failed before.

--- a/crates/replog/src/node.rs
+++ b/crates/replog/src/node.rs
@@ -275,11 +275,12 @@
         (self.role == Role::Leader).then_some(self.elected_at)
     }
 
-    /// Whether the node is the leader, holds the lease, and has committed an entry of its term.
-    /// Its commit index then covers every entry committed in earlier terms.
+    /// Whether the node is the leader, holds the lease, and has handed an entry of its term to the
+    /// caller. With it the caller has every entry committed in earlier terms, so that its state
+    /// answers reads; the commit index alone would not say so.
     pub fn holds_lease(&self, now: Instant) -> bool {
         self.role == Role::Leader
-            && self.log.term(self.commit) == Some(self.hard_state.term)
+            && self.log.term(self.delivered) == Some(self.hard_state.term)
             && now < self.lease_start + self.timing.lease
     }
 
--- a/crates/replog/tests/replication.rs
+++ b/crates/replog/tests/replication.rs
@@ -12,6 +12,17 @@
 
 /// A leader of five voters whose log has one entry, which all voters have.
 fn leader(now: Instant) -> Node {
+    let mut node = elected(now);
+    for from in 2..=VOTERS {
+        acknowledge(&mut node, from, 2, now);
+    }
+    node.take_output();
+    node.mark_synced();
+    node
+}
+
+/// A node that has just won its election.
+fn elected(now: Instant) -> Node {
     let timing = Timing {
         heartbeat: HEARTBEAT,
         election_min: Duration::from_millis(500),
@@ -33,11 +44,6 @@
     for from in 2..=3 {
         receive(&mut node, from, Message::VoteReply { term: 2, granted: true }, now);
     }
-    for from in 2..=VOTERS {
-        acknowledge(&mut node, from, 2, now);
-    }
-    node.take_output();
-    node.mark_synced();
     node
 }
 
@@ -112,3 +118,28 @@
     node.propose(vec![7; 600]).expect("it leads");
     expect_that!(take_receivers(&mut node).0, elements_are![eq(&2), eq(&3), eq(&4), eq(&5)]);
 }
+
+/// Guards against a new leader that answers reads before its caller has applied what is committed.
+#[gtest]
+fn holds_lease_before_committed_entries_are_delivered() {
+    let now = Instant::now();
+    let mut node = elected(now);
+    let index = node.last_index();
+    let later = now + 2 * HEARTBEAT;
+    node.tick(later);
+    let rounds = node.take_output().messages.into_iter().filter_map(|envelope| {
+        let Message::AppendEntries { round, .. } = envelope.message else { return None };
+        Some(round)
+    });
+    let round = rounds.max().expect("a heartbeat");
+    node.mark_synced();
+    for from in 2..=VOTERS {
+        let message = Message::AppendReply { term: 2, round, success: true, index };
+        receive(&mut node, from, message, later);
+    }
+    expect_that!(node.commit(), eq(index));
+    expect_false!(node.holds_lease(later));
+    let delivered = node.take_output().committed;
+    expect_that!(delivered.last().map(|entry| entry.index), some(eq(index)));
+    expect_true!(node.holds_lease(later));
+}
