Bound the bodies of all requests and responses together

Callers could see: an entry on a small host that ended for lack of memory while many callers sent large bodies, or servers large responses, and cut off the requests of all others.

Cause: a limit for each body of a request, and none for all. The budget of responses ended when a body had been read, and didn't count the capacity of buffers.

A body takes its length or capacity before the memory is used and keeps it until its last copy is dropped. What doesn't fit is refused at once, 503 with Retry-After, as it has not run; the rest of its body is discarded meanwhile.

--- a/bench/src/sim_cluster.rs
+++ b/bench/src/sim_cluster.rs
@@ -1,7 +1,9 @@
 //! Many simulated backend servers in one process. One address accepts the orders of all of them.
 
-use base::sync::lock;
-use http::{Body, Handler, HandlerFuture, Incoming, Limits, Server, collect, json_response};
+use base::{limits::REQUESTS_MAX, sync::lock};
+use http::{
+    Body, ByteBudget, Handler, HandlerFuture, Incoming, Limits, Server, collect, json_response,
+};
 use hyper::{Request, Response, StatusCode};
 use model::{announce::Announcement, ids::HostId, order::Order};
 use net::{Pool, Stop, bind};
@@ -74,6 +76,7 @@
             pool,
             listener: bind("sim-cluster", address).expect("listen on the address for orders"),
             limits: Limits::default(),
+            bodies: Arc::new(ByteBudget::new(REQUESTS_MAX)),
             handler: cluster.clone(),
             stop: Stop::default(),
         };
--- a/bin/control/src/operator.rs
+++ b/bin/control/src/operator.rs
@@ -6,10 +6,14 @@
     metrics::ControlMetrics,
 };
 use async_channel::bounded;
-use base::{limits::COMMIT_TIMEOUT, secret::Secret, units::parse_duration};
+use base::{
+    limits::{COMMIT_TIMEOUT, REQUESTS_MAX},
+    secret::Secret,
+    units::parse_duration,
+};
 use http::{
-    Body, Handler, HandlerFuture, Incoming, Limits, Server, bearer_token, collect, error_response,
-    json_response,
+    Body, ByteBudget, Handler, HandlerFuture, Incoming, Limits, Server, bearer_token, collect,
+    error_response, json_response,
 };
 use hyper::{Method, Request, Response, StatusCode};
 use model::{manifest::check_manifest, status::Accepted};
@@ -53,7 +57,8 @@
 ) {
     let limits = Limits::default();
     let handler = Arc::new(Operator { token: config.token.clone(), limits, driver, metrics });
-    let server = Server { pool, listener, limits, handler, stop };
+    let bodies = Arc::new(ByteBudget::new(REQUESTS_MAX));
+    let server = Server { pool, listener, limits, bodies, handler, stop };
     pool.spawn(server.run()).detach();
 }
 
@@ -130,9 +135,9 @@
     }
 
     async fn read_text(&self, request: Request<Incoming>) -> Result<String, Response<Body>> {
-        let body = collect(request.into_body(), self.limits.body_bytes).await.map_err(|fault| {
-            error_response(StatusCode::PAYLOAD_TOO_LARGE, "bad_body", fault.to_string())
-        })?;
+        let body = collect(request.into_body(), self.limits.body_bytes)
+            .await
+            .map_err(|fault| error_response(fault.status(), "bad_body", fault.to_string()))?;
         String::from_utf8(body.into()).map_err(|_| {
             let message = "the body is not UTF-8: send JSON text";
             error_response(StatusCode::BAD_REQUEST, "bad_body", message)
--- a/bin/entry/src/announce.rs
+++ b/bin/entry/src/announce.rs
@@ -40,7 +40,7 @@
         }
         let body = match collect(request.into_body(), self.state.limits.body_bytes).await {
             Ok(body) => body,
-            Err(fault) => return self.refuse(StatusCode::PAYLOAD_TOO_LARGE, &fault.to_string()),
+            Err(fault) => return self.refuse(fault.status(), &fault.to_string()),
         };
         match serde_json::from_slice::<Announcement>(&body) {
             Ok(announcement) => self.accept(announcement, remote),
--- a/bin/entry/src/caller.rs
+++ b/bin/entry/src/caller.rs
@@ -103,8 +103,12 @@
         let team = find_team(&routes, &parts.headers, remote)?;
         let limit = self.state.limits.body_bytes;
         let body = collect(body, limit).await.map_err(|fault| {
+            let status = fault.status();
+            if status == StatusCode::SERVICE_UNAVAILABLE {
+                return CallerRefusal::retryable(status, "bodies_full", fault.to_string());
+            }
             let message = format!("{fault}: send at most {limit} bytes");
-            CallerRefusal::invalid(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message)
+            CallerRefusal::invalid(status, "body_too_large", message)
         })?;
         match route {
             RouteMatch::Model => self.serve_model(&routes, parts, body, team).await,
--- a/bin/entry/src/dispatch.rs
+++ b/bin/entry/src/dispatch.rs
@@ -7,7 +7,7 @@
 };
 use base::limits::RESPONSE_MAX;
 use bytes::Bytes;
-use http::{Body, Connection, Framing, Incoming, collect_response_within, full};
+use http::{Body, Connection, Framing, Incoming, full};
 use hyper::{
     Request, Response, StatusCode,
     header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderName, TRANSFER_ENCODING},
@@ -194,7 +194,7 @@
     let (head, body) = response.into_parts();
     let framing = Framing::of(&head.headers, &body);
     let left = request.deadline.saturating_duration_since(state.clock.now());
-    let collected = collect_response_within(body, RESPONSE_MAX, &state.response_budget);
+    let collected = http::collect_response(body, RESPONSE_MAX);
     let bytes = match with_timeout(left, collected).await {
         Ok(Ok(bytes)) => bytes,
         Ok(Err(fault)) => {
--- a/bin/entry/src/entry_state.rs
+++ b/bin/entry/src/entry_state.rs
@@ -6,12 +6,12 @@
 use async_channel::{Receiver, Sender, bounded};
 use base::{
     clock::Clock,
-    limits::{DIRECTORY_TTL, RESPONSES_MAX, VIEW_LEASE},
+    limits::{DIRECTORY_TTL, VIEW_LEASE},
     secret::Secret,
     sync::lock,
 };
 use fastrand::Rng;
-use http::{Body, ByteBudget, Client, Dump, Limits, error_response, json_response};
+use http::{Body, Client, Dump, Limits, error_response, json_response};
 use hyper::{Response, StatusCode};
 use log::info;
 use model::{
@@ -75,8 +75,6 @@
     pub pool: Pool,
     /// The client for backend servers.
     pub client: Client,
-    /// The budget of the responses that are being buffered.
-    pub response_budget: ByteBudget,
     /// The metrics.
     pub metrics: EntryMetrics,
     /// The clock.
@@ -153,7 +151,6 @@
             limits: config.limits,
             pool,
             client: Client::new(pool, Some(config.listen.ip())),
-            response_budget: ByteBudget::new(RESPONSES_MAX),
             metrics,
             clock,
             control_bytes: Arc::default(),
--- a/bin/entry/src/process.rs
+++ b/bin/entry/src/process.rs
@@ -11,9 +11,9 @@
     metrics::EntryMetrics,
 };
 use async_io::Timer;
-use base::{clock::SystemClock, metrics::Metrics, settings::exit_usage};
+use base::{clock::SystemClock, limits::REQUESTS_MAX, metrics::Metrics, settings::exit_usage};
 use futures_lite::FutureExt;
-use http::{Limits, Server, serve_admin};
+use http::{ByteBudget, Limits, Server, serve_admin};
 use log::info;
 use miette::{IntoDiagnostic, Report};
 use net::{Stop, bind, start_pool, wait_for_stop_signal};
@@ -49,10 +49,12 @@
         }
     })
     .detach();
+    let bodies = Arc::new(ByteBudget::new(REQUESTS_MAX));
     let callers = Server {
         pool,
         listener,
         limits: config.limits,
+        bodies: bodies.clone(),
         handler: Arc::new(CallerHandler::new(state.clone(), ClaimService::new(control))),
         stop: state.stop.clone(),
     };
@@ -61,6 +63,7 @@
         pool,
         listener: backend_listener,
         limits: Limits::default(),
+        bodies,
         handler: Arc::new(AnnounceHandler { state: state.clone(), secret: config.secret }),
         stop: Stop::default(),
     };
--- a/bin/fake/src/process.rs
+++ b/bin/fake/src/process.rs
@@ -8,8 +8,11 @@
     config::{Config, PROGRAM},
 };
 use async_channel::bounded;
-use base::{limits::DRAIN_TIMEOUT, settings::exit_usage};
-use http::{Limits, Server};
+use base::{
+    limits::{DRAIN_TIMEOUT, REQUESTS_MAX},
+    settings::exit_usage,
+};
+use http::{ByteBudget, Limits, Server};
 use log::info;
 use miette::{IntoDiagnostic, Report};
 use net::{Stop, bind, start_pool, wait_for_stop_signal};
@@ -30,10 +33,12 @@
     let (wake_announcer, wake) = bounded(1);
     let stop = Stop::default();
     info!("event=start program={PROGRAM} host={}", backend.config().name);
+    let bodies = Arc::new(ByteBudget::new(REQUESTS_MAX));
     let backend_server = Server {
         pool,
         listener,
         limits: Limits::default(),
+        bodies: bodies.clone(),
         handler: Arc::new(BackendApi {
             backend: backend.clone(),
             wake_announcer: wake_announcer.clone(),
@@ -45,6 +50,7 @@
         pool,
         listener: admin_listener,
         limits: Limits::default(),
+        bodies,
         handler: Arc::new(AdminApi {
             metrics: FakeMetrics::default(),
             backend: backend.clone(),
--- a/crates/base/src/limits.rs
+++ b/crates/base/src/limits.rs
@@ -71,7 +71,10 @@
 /// Maximum size, in bytes, of a unary response that an entry buffers before forwarding it.
 pub const RESPONSE_MAX: usize = 16 * 1024 * 1024;
 
-/// Maximum size, in bytes, of all unary responses that an entry is buffering.
+/// Default maximum size, in bytes, of the bodies of all requests that a process holds.
+pub const REQUESTS_MAX: usize = 64 * 1024 * 1024;
+
+/// Default maximum size, in bytes, of the bodies of all responses that a process holds.
 pub const RESPONSES_MAX: usize = 64 * 1024 * 1024;
 
 /// Maximum size, in bytes, of a message between the system's own processes.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -9,13 +9,13 @@
 };
 use admission::{Choice, KeyCheck, Refused, Requirements, RouteTable, SlotId};
 use async_io::Timer;
-use base::{limits::RESPONSES_MAX, sync::lock};
+use base::sync::lock;
 use bytes::Bytes;
 use fleet::{Replica, Route, RouteKind};
 use futures_lite::FutureExt;
 use http::{
-    Body, BodyError, ByteBudget, Client, ClientError, Connection, Handler, HandlerFuture, Incoming,
-    Limits, collect, full,
+    Body, BodyError, Client, ClientError, Connection, Handler, HandlerFuture, Incoming, Limits,
+    collect, full,
 };
 use hyper::{
     HeaderMap, Method, Request, Response, Uri,
@@ -37,6 +37,9 @@
 /// The `Retry-After` time if no backend server offers what a request requirements: about the time in
 /// which a group is formed again.
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(1000);
+/// The `Retry-After` time if the bodies of all requests take too much memory: about the time that a
+/// large body takes to arrive and to be answered.
+const BODIES_RETRY_AFTER: Duration = Duration::from_millis(1000);
 /// Longest wait for the response headers if the request may be retried at another backend
 /// server: several times what a fully loaded engine takes for a long prompt.
 const FIRST_RESPONSE_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -66,7 +69,6 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) client: Arc<Client>,
     pub(crate) metrics: GatewayMetrics,
-    pub(crate) response_budget: ByteBudget,
 }
 
 /// A request that is being proxied.
@@ -150,8 +152,7 @@
         client: Arc<Client>,
         metrics: GatewayMetrics,
     ) -> Gateway {
-        let response_budget = ByteBudget::new(RESPONSES_MAX);
-        Gateway { state, dialect, client, metrics, response_budget }
+        Gateway { state, dialect, client, metrics }
     }
 
     async fn answer(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
@@ -226,6 +227,9 @@
             Ok(Err(BodyError::Broken(_) | BodyError::Unproductive(_))) => {
                 return Err(Refusal::BodyTruncated);
             }
+            Ok(Err(BodyError::OverBudget { .. })) => {
+                return Err(Refusal::BodiesFull { retry_after: BODIES_RETRY_AFTER });
+            }
             Ok(Err(BodyError::TimedOut)) | Err(_) => {
                 return Err(Refusal::TimedOut { verdict: Verdict::NotRun });
             }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -16,6 +16,11 @@
     BodyTooLarge,
     /// The connection failed before the end of the body.
     BodyTruncated,
+    /// The bodies of all requests take as much memory as they may.
+    BodiesFull {
+        /// When the caller should retry.
+        retry_after: Duration,
+    },
     /// No backend server offers what the request needs.
     NoServer {
         /// When the caller should retry.
@@ -58,6 +63,7 @@
             Refusal::UnknownKey => "unknown_key",
             Refusal::BodyTooLarge => "too_long",
             Refusal::BodyTruncated => "body_cut",
+            Refusal::BodiesFull { .. } => "bodies_full",
             Refusal::NoServer { .. } => "no_server",
             Refusal::Full { .. } => "full",
             Refusal::Quarantined { .. } => "quarantined",
@@ -72,7 +78,8 @@
     /// When the caller should retry, if a retry can succeed.
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
-            Refusal::NoServer { retry_after }
+            Refusal::BodiesFull { retry_after }
+            | Refusal::NoServer { retry_after }
             | Refusal::Full { retry_after }
             | Refusal::Quarantined { retry_after }
             | Refusal::NotRun { retry_after } => Some(*retry_after),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use fleet::RouteKind;
 use futures_lite::stream;
-use http::{Body, Connection, Framing, Incoming, is_unproductive};
+use http::{Body, Connection, Framing, Incoming, Reservation, is_unproductive};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{
     HeaderMap, Response,
@@ -42,6 +42,8 @@
     request: ProxyRequest,
     upstream: Option<Upstream>,
     events: EventBuffer,
+    /// The part of the budget of responses that the buffer takes.
+    held: Reservation,
     ended: bool,
     /// Whether it waits for the current backend server until the deadline, as no other could
     /// resume the stream.
@@ -129,6 +131,7 @@
             request,
             is_event_stream: upstream.is_event_stream,
             can_resume: true,
+            held: Reservation::new(upstream.body.budget()),
             upstream: Some(upstream),
             events: EventBuffer::default(),
             ended: false,
@@ -240,10 +243,11 @@
                 ReadResult::Bytes(bytes) => {
                     let now = self.gateway.state.clock.now();
                     upstream.slot.record_progress();
-                    let events = match self.events.push(&bytes) {
+                    let pushed = self.events.push(&bytes).map_err(|e| e.to_string());
+                    let held = self.held.resize(self.events.partial_len());
+                    let events = match held.map_err(|e| e.to_string()).and(pushed) {
                         Ok(events) => events,
-                        Err(e) => {
-                            let cause = e.to_string();
+                        Err(cause) => {
                             if !self.replace_upstream(&cause).await {
                                 return Some(self.fail(&cause));
                             }
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -7,7 +7,7 @@
     refusal::Refusal,
 };
 use base::{limits::RESPONSE_MAX, sync::lock};
-use http::{Body, BodyError, Framing, collect_response_within, full};
+use http::{Body, BodyError, Framing, collect_response, full};
 use hyper::Response;
 use log::info;
 use model::verdict::Verdict;
@@ -71,7 +71,7 @@
         let status = response.status();
         let (mut head, body) = response.into_parts();
         let framing = Framing::of(&head.headers, &body);
-        let collected = collect_response_within(body, RESPONSE_MAX, &self.response_budget);
+        let collected = collect_response(body, RESPONSE_MAX);
         let bytes = match with_timeout(remaining, collected).await {
             Ok(Ok(bytes)) => bytes,
             Ok(Err(e)) => {
--- a/crates/http/src/admin.rs
+++ b/crates/http/src/admin.rs
@@ -1,7 +1,7 @@
 //! The admin endpoint of a process: metrics, a state dump, and a health check.
 
 use crate::{
-    body::{Body, error_response, json_response, text_response},
+    body::{Body, ByteBudget, error_response, json_response, text_response},
     incoming::Incoming,
     server::{Handler, HandlerFuture, Limits, Server},
 };
@@ -98,6 +98,8 @@
         pool,
         listener,
         limits: Limits::default(),
+        // It reads no bodies.
+        bodies: Arc::new(ByteBudget::new(0)),
         handler: Arc::new(Admin { metrics, dump }),
         stop,
     };
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -17,12 +17,12 @@
 use serde::Serialize;
 use std::{
     fmt, io,
-    sync::atomic::{AtomicUsize, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
 };
 
-/// Maximum number of bytes to discard from an oversized body before responding.
-const DISCARD_MAX: usize = 64 << 20;
-
 /// The body of a server's response or of a client's request.
 pub type Body = UnsyncBoxBody<Bytes, io::Error>;
 
@@ -40,6 +40,24 @@
     Unproductive(hyper::Error),
     /// The body did not arrive in time.
     TimedOut,
+    /// All bodies together exceed the limit.
+    OverBudget {
+        /// The limit in bytes.
+        limit: usize,
+    },
+}
+
+impl BodyError {
+    /// The status of the response to a request with such a body.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            BodyError::TooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            BodyError::OverBudget { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            BodyError::Broken(_) | BodyError::Unproductive(_) | BodyError::TimedOut => {
+                StatusCode::BAD_REQUEST
+            }
+        }
+    }
 }
 
 impl From<hyper::Error> for BodyError {
@@ -54,6 +72,9 @@
             BodyError::TooLong { limit } => write!(f, "the body is longer than {limit} bytes"),
             BodyError::Broken(e) => write!(f, "the body was truncated: {}", with_causes(e)),
             BodyError::Unproductive(e) => write!(f, "the body has no end: {}", with_causes(e)),
+            BodyError::OverBudget { limit } => {
+                write!(f, "all bodies together are longer than {limit} bytes")
+            }
             BodyError::TimedOut => {
                 write!(f, "the body did not arrive within {} s", BODY_TIMEOUT.as_secs())
             }
@@ -71,7 +92,13 @@
     Empty::new().map_err(|never| match never {}).boxed_unsync()
 }
 
-/// A limit on the bytes of all response bodies that are being collected at the same time.
+/// Size, in bytes, up to which a body counts as small. Large bodies leave a part of a budget to small
+/// ones.
+const SMALL_BODY: usize = 64 << 10;
+/// Capacity, in bytes, of the buffer of a body whose length is unknown.
+const FIRST_CAPACITY: usize = 8 << 10;
+
+/// A limit on the bytes of all bodies that a process holds at the same time.
 #[derive(Debug)]
 pub struct ByteBudget {
     limit: usize,
@@ -83,104 +110,123 @@
     pub fn new(limit: usize) -> ByteBudget {
         ByteBudget { limit, taken: AtomicUsize::new(0) }
     }
+
+    /// The bytes that bodies hold.
+    pub fn taken(&self) -> usize {
+        self.taken.load(Ordering::Relaxed)
+    }
+
+    fn take(&self, bytes: usize, limit: usize) -> Result<(), BodyError> {
+        let taken = |taken: usize| taken.checked_add(bytes).filter(|taken| *taken <= limit);
+        match self.taken.fetch_update(Ordering::Relaxed, Ordering::Relaxed, taken) {
+            Ok(_) => Ok(()),
+            Err(_) => Err(BodyError::OverBudget { limit: self.limit }),
+        }
+    }
 }
 
 /// The bytes that one body has taken from a budget, returned on drop.
-struct Reservation<'a> {
-    budget: &'a ByteBudget,
+#[derive(Debug)]
+pub struct Reservation {
+    budget: Arc<ByteBudget>,
     bytes: usize,
 }
 
-impl Reservation<'_> {
-    fn grow(&mut self, bytes: usize) -> Result<(), BodyError> {
-        self.bytes += bytes;
-        let taken = self.budget.taken.fetch_add(bytes, Ordering::Relaxed) + bytes;
-        let limit = self.budget.limit;
-        if taken > limit { Err(BodyError::TooLong { limit }) } else { Ok(()) }
+impl Reservation {
+    /// An empty reservation.
+    pub fn new(budget: Arc<ByteBudget>) -> Reservation {
+        Reservation { budget, bytes: 0 }
+    }
+
+    /// Changes the reservation to `bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the budget is used up; the reservation is as before then.
+    pub fn resize(&mut self, bytes: usize) -> Result<(), BodyError> {
+        if let Some(more) = bytes.checked_sub(self.bytes) {
+            let all = self.budget.limit;
+            self.budget.take(more, if bytes > SMALL_BODY { all / 4 * 3 } else { all })?;
+        } else {
+            self.budget.taken.fetch_sub(self.bytes - bytes, Ordering::Relaxed);
+        }
+        self.bytes = bytes;
+        Ok(())
     }
 }
 
-impl Drop for Reservation<'_> {
+impl Drop for Reservation {
     fn drop(&mut self) {
         self.budget.taken.fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
 
-/// Reads the whole body of a request, of at most `limit` bytes.
-///
-/// # Errors
-///
-/// Fails if the body is longer or truncated, or takes longer than `BODY_TIMEOUT`. The rest of a
-/// body that is too long is read and discarded, up to a limit.
-pub async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
-    let budget = ByteBudget::new(limit);
-    let collected = async {
-        let collected = collect_up_to(&mut body, limit, &budget).await;
-        if matches!(collected, Err(BodyError::TooLong { .. })) {
-            discard(body).await;
-        }
-        collected
-    };
-    with_timeout(BODY_TIMEOUT, collected).await.unwrap_or(Err(BodyError::TimedOut))
+/// The bytes of a body, which keep their reservation for as long as any part of them is in use.
+struct Reserved {
+    bytes: BytesMut,
+    _reservation: Reservation,
 }
 
-/// Reads the whole body of a response, of at most `limit` bytes.
+impl AsRef<[u8]> for Reserved {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Reads the whole body of a request, of at most `limit` bytes. They count in the budget of the
+/// server until the last copy of them is dropped.
 ///
 /// # Errors
 ///
-/// Fails if the body is longer or truncated. The rest of a body that is too long is not read, as
-/// it may have no end: the caller must close the connection.
-pub async fn collect_response(mut body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
-    collect_up_to(&mut body, limit, &ByteBudget::new(limit)).await
+/// Fails if the body is longer or truncated, takes longer than `BODY_TIMEOUT`, or if the budget is
+/// used up. The rest of a body that is too long or exceeds the budget is discarded meanwhile.
+pub async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
+    let collected = with_timeout(BODY_TIMEOUT, collect_up_to(&mut body, limit)).await;
+    let collected = collected.unwrap_or(Err(BodyError::TimedOut));
+    if matches!(collected, Err(BodyError::TooLong { .. } | BodyError::OverBudget { .. })) {
+        body.discard();
+    }
+    collected
 }
 
-/// Like [`collect_response`], with a limit on all bodies that share the budget.
+/// Reads the whole body of a response, of at most `limit` bytes. They count in the budget of the
+/// client until the last copy of them is dropped.
 ///
 /// # Errors
 ///
-/// Fails if the body is longer than `limit` or truncated, or if the budget is used up.
-pub async fn collect_response_within(
-    mut body: Incoming,
-    limit: usize,
-    budget: &ByteBudget,
-) -> Result<Bytes, BodyError> {
-    collect_up_to(&mut body, limit, budget).await
+/// Fails if the body is longer or truncated, or if the budget is used up. The rest of a body that is
+/// too long is not read, as it may have no end: the caller must close the connection.
+pub async fn collect_response(mut body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
+    collect_up_to(&mut body, limit).await
 }
 
-async fn collect_up_to(
-    body: &mut Incoming,
-    limit: usize,
-    budget: &ByteBudget,
-) -> Result<Bytes, BodyError> {
-    if body.size_hint().lower() > limit as u64 {
+async fn collect_up_to(body: &mut Incoming, limit: usize) -> Result<Bytes, BodyError> {
+    let hint = body.size_hint();
+    if hint.lower() > limit as u64 {
         return Err(BodyError::TooLong { limit });
     }
+    let length = hint.exact().and_then(|length| usize::try_from(length).ok());
+    let mut reservation = Reservation::new(body.budget());
+    reservation.resize(length.unwrap_or(0))?;
     let mut bytes = BytesMut::new();
-    let mut reservation = Reservation { budget, bytes: 0 };
     while let Some(frame) = body.frame().await {
         let frame = frame?;
         let Ok(chunk) = frame.into_data() else {
             continue;
         };
-        if bytes.len() + chunk.remaining() > limit {
+        let needed = bytes.len() + chunk.remaining();
+        if needed > limit {
             return Err(BodyError::TooLong { limit });
         }
-        reservation.grow(chunk.remaining())?;
-        bytes.extend_from_slice(&chunk);
-    }
-    Ok(bytes.freeze())
-}
-
-/// Reads and discards the rest of a body. Closing a connection with unread data would reset it, and
-/// the sender might never see the error response.
-async fn discard(mut body: Incoming) {
-    let mut discarded = 0;
-    while let Some(Ok(frame)) = body.frame().await {
-        discarded += frame.data_ref().map_or(0, Buf::remaining);
-        if discarded > DISCARD_MAX {
-            return;
+        if needed > bytes.capacity() {
+            let doubled = needed.max(2 * bytes.capacity()).max(FIRST_CAPACITY);
+            let capacity = doubled.min(length.unwrap_or(limit)).max(needed);
+            reservation.resize(capacity.max(length.unwrap_or(0)))?;
+            bytes.reserve(capacity - bytes.len());
         }
+        bytes.extend_from_slice(&chunk);
     }
+    Ok(Bytes::from_owner(Reserved { bytes, _reservation: reservation }))
 }
 
 /// A response with a JSON body.
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,10 +1,13 @@
 //! An HTTP client whose errors tell whether the request may have been executed.
 
 use crate::{
-    body::Body,
+    body::{Body, ByteBudget},
     incoming::{Incoming, is_unproductive, limit_unproductive},
 };
-use base::{limits::CONNECT_TIMEOUT, sync::lock};
+use base::{
+    limits::{CONNECT_TIMEOUT, RESPONSES_MAX},
+    sync::lock,
+};
 use hyper::{
     Request, Response,
     client::conn::http1::{self, SendRequest},
@@ -90,6 +93,8 @@
 pub struct Connection {
     sender: SendRequest<Body>,
     allowance: Arc<Allowance>,
+    budget: Arc<ByteBudget>,
+    pool: Pool,
     reused: bool,
 }
 
@@ -106,7 +111,8 @@
         self.sender.ready().await?;
         self.allowance.reset();
         let response = self.sender.send_request(request).await?;
-        Ok(response.map(|body| Incoming::new(body, self.allowance.clone())))
+        let (allowance, budget) = (self.allowance.clone(), self.budget.clone());
+        Ok(response.map(|body| Incoming::new(body, allowance, budget, self.pool)))
     }
 
     /// Whether the connection has already carried a request.
@@ -120,13 +126,22 @@
 pub struct Client {
     pool: Pool,
     from: Option<IpAddr>,
+    /// For the bodies of all responses.
+    budget: Arc<ByteBudget>,
     idle: Mutex<BTreeMap<SocketAddr, Vec<Connection>>>,
 }
 
 impl Client {
-    /// A client whose connections use the source address `from`.
+    /// A client whose connections use the source address `from`. The bodies of its responses hold
+    /// at most `RESPONSES_MAX` bytes together.
     pub fn new(pool: Pool, from: Option<IpAddr>) -> Client {
-        Client { pool, from, idle: Mutex::default() }
+        Client::with_budget(pool, from, RESPONSES_MAX)
+    }
+
+    /// A client whose responses hold at most `body_bytes` together.
+    pub fn with_budget(pool: Pool, from: Option<IpAddr>, body_bytes: usize) -> Client {
+        let budget = Arc::new(ByteBudget::new(body_bytes));
+        Client { pool, from, budget, idle: Mutex::default() }
     }
 
     /// Reuses an idle connection, or opens a new one.
@@ -159,7 +174,8 @@
                 let _ = connection.await;
             })
             .detach();
-        Ok(Connection { sender, allowance, reused: false })
+        let (budget, pool) = (self.budget.clone(), self.pool);
+        Ok(Connection { sender, allowance, budget, pool, reused: false })
     }
 
     /// Returns a connection to the idle pool; its last response must have been read to the end.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,8 +10,8 @@
 
 pub use admin::{Dump, bearer_token, serve_admin};
 pub use body::{
-    Body, BodyError, ByteBudget, collect, collect_response, collect_response_within, empty,
-    error_response, full, json_response, text_response,
+    Body, BodyError, ByteBudget, Reservation, collect, collect_response, empty, error_response,
+    full, json_response, text_response,
 };
 pub use client::{Client, ClientError, Connection};
 pub use framing::Framing;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,7 +1,7 @@
 //! An HTTP server with request limits and graceful shutdown.
 
 use crate::{
-    body::Body,
+    body::{Body, ByteBudget},
     incoming::{Incoming, limit_unproductive},
     timer::AsyncIoTimer,
 };
@@ -69,6 +69,8 @@
     pub listener: Listener,
     /// Limits on requests.
     pub limits: Limits,
+    /// Limit on the bodies of all requests together.
+    pub bodies: Arc<ByteBudget>,
     /// Handles the requests.
     pub handler: Arc<dyn Handler>,
     /// Stops the server; connections close once their request in flight is answered.
@@ -87,18 +89,18 @@
 impl Server {
     /// Accepts connections until the stop is signalled.
     pub async fn run(self) {
+        let Server { pool, listener, limits, bodies, handler, stop } = self;
+        // The connections must not keep the listener open.
+        let shared = Arc::new(Shared { pool, limits, bodies, handler, stop });
         loop {
-            let accepted = async { Some(self.listener.accept().await) };
+            let accepted = async { Some(listener.accept().await) };
             let stopped = async {
-                self.stop.wait().await;
+                shared.stop.wait().await;
                 None
             };
             match accepted.or(stopped).await {
                 Some(Ok((stream, remote))) => {
-                    let (handler, stop) = (self.handler.clone(), self.stop.clone());
-                    let limits = handler.limits().unwrap_or(self.limits);
-                    let connection = serve_connection(stream, remote, limits, handler, stop);
-                    self.pool.spawn(connection).detach();
+                    pool.spawn(shared.clone().serve_connection(stream, remote)).detach();
                 }
                 Some(Err(_)) => {
                     // Most likely out of file descriptors; give open ones time to close.
@@ -110,62 +112,68 @@
     }
 }
 
-async fn serve_connection(
-    stream: Stream,
-    remote: SocketAddr,
+/// What all connections of a server use.
+struct Shared {
+    pool: Pool,
     limits: Limits,
+    bodies: Arc<ByteBudget>,
     handler: Arc<dyn Handler>,
     stop: Stop,
-) {
-    let _ = stream.get_ref().set_nodelay(true);
-    let connection_handler = handler.clone();
-    let in_flight = stop.clone();
-    let socket = &stream;
-    let resets = AtomicBool::new(false);
-    let resets_on_close = &resets;
-    let buffer_bytes = limits.header_bytes.max(HEADER_BUFFER_MIN);
-    let allowance = limit_unproductive(socket, buffer_bytes);
-    let service = service_fn(move |request: Request<hyper::body::Incoming>| {
-        let request = request.map(|body| Incoming::new(body, allowance.clone()));
-        let guard = in_flight.enter();
-        let handler = handler.clone();
-        let knows_chunks = request.version() >= Version::HTTP_11;
-        async move {
-            let response = handler.handle(request, remote).await;
-            if !knows_chunks && response.body().size_hint().exact().is_none() {
-                // The body ends with the connection, so that only a reset tells a body that is cut
-                // off from a complete one.
-                let is_set = set_reset_on_close(socket, true).is_ok();
-                resets_on_close.store(is_set, Ordering::Relaxed);
+}
+
+impl Shared {
+    async fn serve_connection(self: Arc<Shared>, stream: Stream, remote: SocketAddr) {
+        let Shared { pool, limits, bodies, handler, stop } = &*self;
+        let limits = handler.limits().unwrap_or(*limits);
+        let _ = stream.get_ref().set_nodelay(true);
+        let socket = &stream;
+        let resets = AtomicBool::new(false);
+        let resets_on_close = &resets;
+        let buffer_bytes = limits.header_bytes.max(HEADER_BUFFER_MIN);
+        let allowance = limit_unproductive(socket, buffer_bytes);
+        let service = service_fn(move |request: Request<hyper::body::Incoming>| {
+            let request =
+                request.map(|body| Incoming::new(body, allowance.clone(), bodies.clone(), pool));
+            let guard = stop.enter();
+            let handler = handler.clone();
+            let knows_chunks = request.version() >= Version::HTTP_11;
+            async move {
+                let response = handler.handle(request, remote).await;
+                if !knows_chunks && response.body().size_hint().exact().is_none() {
+                    // The body ends with the connection, so that only a reset tells a body that is cut
+                    // off from a complete one.
+                    let is_set = set_reset_on_close(socket, true).is_ok();
+                    resets_on_close.store(is_set, Ordering::Relaxed);
+                }
+                // The request is in flight until the body has been sent or dropped.
+                Ok::<_, Infallible>(response.map(|body| hold_until_sent(body, guard)))
             }
-            // The request is in flight until the body has been sent or dropped.
-            Ok::<_, Infallible>(response.map(|body| hold_until_sent(body, guard)))
-        }
-    });
-    let connection = http1::Builder::new()
-        .timer(AsyncIoTimer)
-        .header_read_timeout(limits.header_timeout)
-        .max_buf_size(buffer_bytes)
-        .serve_connection(FuturesIo::new(socket), service);
-    let mut connection = pin!(connection);
-    let finished = async { Some(connection.as_mut().await) };
-    let stopped = async {
-        stop.wait().await;
-        None
-    };
-    let outcome = match finished.or(stopped).await {
-        Some(outcome) => outcome,
-        None => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    match outcome {
-        Ok(()) if resets.load(Ordering::Relaxed) => {
-            let _ = set_reset_on_close(socket, false);
+        });
+        let connection = http1::Builder::new()
+            .timer(AsyncIoTimer)
+            .header_read_timeout(limits.header_timeout)
+            .max_buf_size(buffer_bytes)
+            .serve_connection(FuturesIo::new(socket), service);
+        let mut connection = pin!(connection);
+        let finished = async { Some(connection.as_mut().await) };
+        let stopped = async {
+            stop.wait().await;
+            None
+        };
+        let outcome = match finished.or(stopped).await {
+            Some(outcome) => outcome,
+            None => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        match outcome {
+            Ok(()) if resets.load(Ordering::Relaxed) => {
+                let _ = set_reset_on_close(socket, false);
+            }
+            Err(e) if e.is_parse() || e.is_timeout() => handler.on_malformed(),
+            _ => {}
         }
-        Err(e) if e.is_parse() || e.is_timeout() => connection_handler.on_malformed(),
-        _ => {}
     }
 }
 
--- a/crates/http/tests/endless.rs
+++ b/crates/http/tests/endless.rs
@@ -4,8 +4,8 @@
 use futures_lite::FutureExt;
 use googletest::prelude::*;
 use http::{
-    Body, BodyError, Client, ClientError, Handler, HandlerFuture, Incoming, Limits, Server,
-    collect, collect_response, empty, text_response,
+    Body, BodyError, ByteBudget, Client, ClientError, Handler, HandlerFuture, Incoming, Limits,
+    Server, collect, collect_response, empty, text_response,
 };
 use hyper::{Request, Response, StatusCode};
 use model::verdict::Verdict;
@@ -21,6 +21,7 @@
 /// Longest wait for a result that needs no more than some hundred kilobytes.
 const TIMEOUT: Duration = Duration::from_secs(5);
 const BODY_MAX: usize = 1 << 20;
+const BODIES_MAX: usize = 4 << 20;
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 fn pool() -> Pool {
@@ -145,7 +146,8 @@
     drop(probe);
     let (pool, listener) = (pool(), Listener::bind(address).expect("the address is free"));
     let (limits, handler) = (Limits::default(), Arc::new(Lengths));
-    let server = Server { pool, listener, limits, handler, stop: Stop::default() };
+    let bodies = Arc::new(ByteBudget::new(BODIES_MAX));
+    let server = Server { pool, listener, limits, bodies, handler, stop: Stop::default() };
     pool.spawn(server.run()).detach();
     address
 }
--- a/crates/net/src/connect.rs
+++ b/crates/net/src/connect.rs
@@ -13,6 +13,9 @@
 
 /// `TCP_USER_TIMEOUT`: how long sent data may remain unacknowledged.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Size of the kernel's receive buffer: what a peer may send while nobody reads. The kernel would
+/// let it grow to megabytes.
+const RECEIVE_BUFFER_BYTES: usize = 256 << 10;
 /// Idle time before the first keepalive probe; the kernel counts whole seconds.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 /// Interval between keepalive probes.
@@ -34,6 +37,7 @@
     socket.set_nonblocking(true)?;
     socket.set_tcp_nodelay(true)?;
     enable_dead_peer_detection(&socket)?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
     if let Some(from) = from {
         socket.bind(&SocketAddr::new(from, 0).into())?;
     }
