Reset connections of requests that are given up

Operators saw: after a cut, requests reached a failure domain seconds later than its evacuation allows.

Cause: an attempt that was given up closed its connection. The kernel went on sending what the server had not confirmed, and delivered it after the cut, when the caller had long had another answer.

Fix: the client's connections are reset on close, which drops what has not arrived. Orders and queries of control use the same client.

send_given_up failed before: the server read to the end of the connection.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -13,7 +13,7 @@
     client::conn::http1::{self, SendRequest},
 };
 use model::verdict::Verdict;
-use net::{Allowance, Pool, connect};
+use net::{Allowance, Pool, connect, set_reset_on_close};
 use smol_hyper::rt::FuturesIo;
 use std::{
     collections::BTreeMap,
@@ -163,6 +163,9 @@
     /// Fails if the connection can't be established.
     pub async fn new_connection(&self, to: SocketAddr) -> Result<Connection, ClientError> {
         let stream = connect(self.from, to, CONNECT_TIMEOUT).await.map_err(ClientError::Connect)?;
+        // A request that is given up must not arrive later. The kernel would go on sending what the
+        // server has not confirmed, for as long as a network partition lasts.
+        set_reset_on_close(&stream, true).map_err(ClientError::Connect)?;
         let allowance = limit_unproductive(&stream, RESPONSE_HEAD_MAX);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(RESPONSE_HEAD_MAX)
