Divide limits only among entries that a new leader knows

Backend servers could see up to twice their limit, and the weight store more loads than it bears, for a second after a change of leader.

Cause: a new leader took its table of entries, empty at first, for all entries. The first one that reported got all shared rates and slots, and loads were unlimited until an entry said that it had forwarded a request.

--- a/crates/coordinator/src/leader/mod.rs
+++ b/crates/coordinator/src/leader/mod.rs
@@ -81,6 +81,8 @@
     has_traffic: bool,
     /// Whether groups of an earlier leader exist.
     resumes: bool,
+    /// Whether an earlier leader has formed groups.
+    has_predecessors: bool,
     /// Calls to be answered once the resulting view has been sent.
     replies_after_view: Vec<Sender<Reply>>,
     /// The manifests that this leader has proposed and that aren't applied yet, by number, with
@@ -91,6 +93,18 @@
 }
 
 impl LeaderState {
+    /// Whether all entries that may act on what an earlier leader told them have reported, or count
+    /// as lost.
+    fn knows_entries(&self, now: Instant) -> bool {
+        now >= self.since + ENTRY_TIMEOUT
+    }
+
+    /// Whether it is certain that callers have not sent any request yet.
+    fn has_no_callers(&self, now: Instant) -> bool {
+        let all_reported = self.knows_entries(now) && !self.entries.is_empty();
+        !self.has_traffic && (all_reported || !self.has_predecessors)
+    }
+
     /// Returns this state for diagnosis.
     pub(crate) fn dump(&self, now: Instant) -> serde_json::Value {
         let groups: Vec<_> = self
@@ -135,6 +149,7 @@
                 now,
             ),
             resumes: !self.ledger.groups.is_empty(),
+            has_predecessors: self.ledger.has_formed_groups(),
             logged_phases: BTreeMap::new(),
             entries: BTreeMap::new(),
             shares: SlotShares::default(),
@@ -302,7 +317,7 @@
                 let _ = reply.try_send(Reply::Done);
             }
         }
-        if now >= leader.shared_at + SHARE_INTERVAL {
+        if leader.knows_entries(now) && now >= leader.shared_at + SHARE_INTERVAL {
             leader.shared_at = now;
             let request_rates = leader.request_rates();
             let slots = leader.shares.divide(&request_rates).into_iter();
@@ -368,7 +383,7 @@
             demand: &demand,
             progressing: &progressing,
             stalled: &stalled,
-            loads_unlimited: !leader.has_traffic,
+            loads_unlimited: leader.has_no_callers(now),
             now,
         };
         let step = leader.planner.step(&input);
--- a/crates/coordinator/tests/driver.rs
+++ b/crates/coordinator/tests/driver.rs
@@ -7,11 +7,14 @@
     secret::Secret,
 };
 use coordinator::{
-    Call, Config, Counters, Driver, Event, Handle, Orders, Reply, StoredManifest, Tolerance,
+    Call, Command, Config, Counters, Driver, Event, Handle, Orders, Reply, StoredManifest,
+    Tolerance,
 };
+use engine::sample_engine;
 use fleet::{
-    CallerLimits, ColdLimit, ControlMessage, EntryMessage, EntryStatus, HostOrder, HostReport,
-    HostState, LOG_SESSION_PATH, Manifest, RoutingView, Service,
+    CallerLimits, ColdLimit, ControlMessage, EntryMessage, EntryStatus, GroupChange, GroupName,
+    GroupRecord, HostOrder, HostReport, HostState, LOG_SESSION_PATH, Manifest, OrderKind,
+    RoutingView, Service,
 };
 use futures_lite::{FutureExt, future, future::Boxed};
 use googletest::prelude::*;
@@ -67,6 +70,23 @@
     }
 }
 
+/// Hosts that begin each order, and are in no group.
+#[derive(Default)]
+struct Recorder(Mutex<Vec<OrderKind>>);
+
+impl Orders for Recorder {
+    fn send(&self, order: &HostOrder) -> Boxed<OrderResult> {
+        self.0.lock().expect("the lock").push(order.kind.clone());
+        future::ready(OrderResult::Begun).boxed()
+    }
+
+    fn query_state(&self, _: &HostId, _: SocketAddr) -> Boxed<Option<HostState>> {
+        let state =
+            HostState { incarnation: 1, staged: vec![], last_model: None, membership: None };
+        future::ready(Some(state)).boxed()
+    }
+}
+
 fn manifest() -> Manifest {
     let limits = CallerLimits {
         header_bytes: 1,
@@ -123,6 +143,15 @@
 
 /// Starts a driver that leads with what the log on a disk says. It stops at an event.
 fn start_on(disk: &Path, clock: Arc<dyn Clock>) -> (Handle, JoinHandle<()>) {
+    start_with(disk, clock, Arc::new(NoOrders))
+}
+
+/// Like [`start_on`], with a client for the hosts.
+fn start_with(
+    disk: &Path,
+    clock: Arc<dyn Clock>,
+    orders: Arc<dyn Orders>,
+) -> (Handle, JoinHandle<()>) {
     let pool = start_pool(1).expect("a pool");
     let address = SocketAddr::from(([127, 0, 0, 1], 1));
     let (store, loaded) = Store::open(disk, 7).expect("a store");
@@ -140,17 +169,8 @@
     };
     let links = Links::new(pool, address.ip(), Secret::new("s"), LOG_SESSION_PATH, Arc::default());
     let counters = Counters::register(&Metrics::default());
-    let driver = Driver::new(
-        config,
-        store,
-        loaded,
-        links,
-        Arc::new(NoOrders),
-        pool,
-        handle.clone(),
-        counters,
-        clock,
-    );
+    let driver =
+        Driver::new(config, store, loaded, links, orders, pool, handle.clone(), counters, clock);
     let thread = thread::spawn(move || driver.run(&events).expect("the disk works"));
     (handle, thread)
 }
@@ -321,6 +341,47 @@
     expect_true!(leaders.offers("h"));
 }
 
+/// Guards against a new leader that takes entries it has not heard of for a system without callers,
+/// and lets all hosts load weights at once.
+#[gtest]
+fn run_loads_before_entries_have_reported() {
+    let disk = tempfile::tempdir().expect("a directory");
+    let (handle, thread) = start_on(disk.path(), Arc::new(SystemClock));
+    let mut manifest = manifest();
+    let engine = sample_engine();
+    let most = engine.loads_at_once as usize;
+    manifest.services[0].engine = Some(engine);
+    let stored = StoredManifest { body: Vec::new(), manifest };
+    call(&handle, || Call::manifest(stored.clone()));
+    let record = GroupRecord { epoch: 1, model: "large".into(), members: vec![] };
+    let name: GroupName = "g1".into();
+    let formed = GroupChange::Formed { name: name.clone(), record };
+    call(&handle, || Call::Change(Command::Group(formed.clone())));
+    let ended = GroupChange::Ended { name };
+    call(&handle, || Call::Change(Command::Group(ended.clone())));
+    handle.send(Event::Stop);
+    thread.join().expect("no panic");
+    let orders = Arc::new(Recorder::default());
+    let (handle, _thread) = start_with(disk.path(), Arc::new(SystemClock), orders.clone());
+    let began = Instant::now();
+    for sequence in 1.. {
+        for host in 0..3 * most as u16 {
+            let (name, fabric) = (format!("h{host}"), format!("f{}", host % 2).into());
+            let address = SocketAddr::from(([127, 0, 0, 1], 9000 + host));
+            let report = HostReport { address, fabric, ..report(&name, sequence, false) };
+            call(&handle, || Call::Report(report.clone()));
+        }
+        if began.elapsed() > Duration::from_secs(3) {
+            break;
+        }
+        thread::sleep(REPORT_EVERY);
+    }
+    let sent = orders.0.lock().expect("the lock");
+    let count = |label: &str| sent.iter().filter(|kind| kind.label() == label).count();
+    expect_that!(count("stage"), all!(ge(1), le(most)));
+    expect_that!(count("join"), eq(0));
+}
+
 /// Guards against a new leader that gives the first entry that reports the whole of each shared
 /// rate, while the others still use the parts that the leader before gave them.
 #[gtest]
--- a/crates/coordinator/tests/ledger.rs
+++ b/crates/coordinator/tests/ledger.rs
@@ -105,6 +105,21 @@
     expect_that!(again, eq(&ledger));
 }
 
+/// Guards against snapshots of earlier versions whose groups or departures can't be read.
+#[gtest]
+fn decode_snapshot_without_leaving_hosts() {
+    let mut ledger = Ledger::default();
+    ledger.apply(3, Command::HostLeft("h".into(), 5));
+    let Ledger { applied, manifest, domains_out, groups, quarantine, departures, .. } = &ledger;
+    let old = (applied, manifest, domains_out, groups, quarantine, departures);
+    let again: Ledger = durable::decode_state(&durable::encode(&old));
+    expect_that!(again, eq(&ledger));
+    expect_false!(again.has_formed_groups());
+    ledger.apply(4, Command::HostLeaving("h".into(), 6));
+    let again: Ledger = durable::decode_state(&durable::encode(&ledger));
+    expect_true!(again.leaving.contains(&"h".into(), 6));
+}
+
 #[gtest]
 fn decode_snapshot_with_quarantine() {
     let mut ledger = Ledger::default();
