Query hosts before they are ordered out of ended groups

A host whose membership is uncertain was first ordered out of an ended group and queried half a second after that order, as an earlier answer would not show it. It is queried first now, and free as soon as it has left. No change of what is proved. Tests of groups passed.

--- a/crates/groups/src/planner/formation.rs
+++ b/crates/groups/src/planner/formation.rs
@@ -24,7 +24,8 @@
                 continue;
             };
             let is_present = status.is_present(self.limits.member_timeout, input.now);
-            if !is_present || !self.is_orphaned(membership) {
+            // A host whose membership is uncertain is queried first, and used right after it left.
+            if !is_present || !status.is_certain() || !self.is_orphaned(membership) {
                 continue;
             }
             let (group, epoch) = (membership.group.clone(), membership.epoch);
