Count responses as they arrive, requests as they are announced

A server that announces a large body and does not send it took a part of the budget that other responses need. Requests still take their length at once, so that one that doesn't fit is refused before it has arrived. Nobody read the bytes that a budget has given out; that method is gone.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -111,11 +111,6 @@
         ByteBudget { limit, taken: AtomicUsize::new(0) }
     }
 
-    /// The bytes that bodies hold.
-    pub fn taken(&self) -> usize {
-        self.taken.load(Ordering::Relaxed)
-    }
-
     fn take(&self, bytes: usize, limit: usize) -> Result<(), BodyError> {
         let taken = |taken: usize| taken.checked_add(bytes).filter(|taken| *taken <= limit);
         match self.taken.fetch_update(Ordering::Relaxed, Ordering::Relaxed, taken) {
@@ -138,6 +133,11 @@
         Reservation { budget, bytes: 0 }
     }
 
+    /// Makes the reservation at least `bytes`.
+    fn grow_to(&mut self, bytes: usize) -> Result<(), BodyError> {
+        if bytes > self.bytes { self.resize(bytes) } else { Ok(()) }
+    }
+
     /// Changes the reservation to `bytes`.
     ///
     /// # Errors
@@ -181,8 +181,14 @@
 /// Fails if the body is longer or truncated, takes longer than `BODY_TIMEOUT`, or if the budget is
 /// used up. The rest of a body that is too long or exceeds the budget is discarded meanwhile.
 pub async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
-    let collected = with_timeout(BODY_TIMEOUT, collect_up_to(&mut body, limit)).await;
-    let collected = collected.unwrap_or(Err(BodyError::TimedOut));
+    let collected = async {
+        // A request that doesn't fit is refused before it has arrived.
+        let length = length_of(&body).filter(|length| *length <= limit);
+        let mut reservation = Reservation::new(body.budget());
+        reservation.resize(length.unwrap_or(0))?;
+        collect_up_to(&mut body, limit, reservation).await
+    };
+    let collected = with_timeout(BODY_TIMEOUT, collected).await.unwrap_or(Err(BodyError::TimedOut));
     if matches!(collected, Err(BodyError::TooLong { .. } | BodyError::OverBudget { .. })) {
         body.discard();
     }
@@ -197,17 +203,25 @@
 /// Fails if the body is longer or truncated, or if the budget is used up. The rest of a body that is
 /// too long is not read, as it may have no end: the caller must close the connection.
 pub async fn collect_response(mut body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
-    collect_up_to(&mut body, limit).await
+    // A server may announce more than it sends.
+    let reservation = Reservation::new(body.budget());
+    collect_up_to(&mut body, limit, reservation).await
 }
 
-async fn collect_up_to(body: &mut Incoming, limit: usize) -> Result<Bytes, BodyError> {
-    let hint = body.size_hint();
-    if hint.lower() > limit as u64 {
+/// The length of a body, if it is known in advance.
+fn length_of(body: &Incoming) -> Option<usize> {
+    usize::try_from(body.size_hint().exact()?).ok()
+}
+
+async fn collect_up_to(
+    body: &mut Incoming,
+    limit: usize,
+    mut reservation: Reservation,
+) -> Result<Bytes, BodyError> {
+    if body.size_hint().lower() > limit as u64 {
         return Err(BodyError::TooLong { limit });
     }
-    let length = hint.exact().and_then(|length| usize::try_from(length).ok());
-    let mut reservation = Reservation::new(body.budget());
-    reservation.resize(length.unwrap_or(0))?;
+    let most = length_of(body).unwrap_or(limit);
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame?;
@@ -220,8 +234,8 @@
         }
         if needed > bytes.capacity() {
             let doubled = needed.max(2 * bytes.capacity()).max(FIRST_CAPACITY);
-            let capacity = doubled.min(length.unwrap_or(limit)).max(needed);
-            reservation.resize(capacity.max(length.unwrap_or(0)))?;
+            let capacity = doubled.min(most).max(needed);
+            reservation.grow_to(capacity)?;
             bytes.reserve(capacity - bytes.len());
         }
         bytes.extend_from_slice(&chunk);
