--- a/crates/admission/src/backends.rs
+++ b/crates/admission/src/backends.rs
@@ -5,10 +5,11 @@
     notices::{Notice, Notices, Permit},
     rate::{RateLimit, RateLimiter},
 };
-use fleet::{Engine, GroupName, HostLimit, Manifest, RateShare, Replica, RoutingView};
-use model::ids::{DomainId, HostId, ModelId, ServiceId};
+use fleet::{Engine, GroupName, HostLimit, Incarnation, Manifest, RateShare, Replica, RoutingView};
+use model::ids::{DomainId, EntryId, HostId, ModelId, ServiceId};
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -21,6 +22,8 @@
 const FULL_BACKOFF: Duration = Duration::from_millis(50);
 /// How often `FULL_BACKOFF` is doubled at most.
 const MAX_FULL_DOUBLINGS: u32 = 3;
+/// How long a backend server that has answered on a new connection counts as reached.
+const PROOF_TIME: Duration = Duration::from_secs(3);
 /// Requests of a plain service that may queue at a replica, per slot.
 const PLAIN_QUEUE_PER_SLOT: usize = 1;
 /// Shortest time after which a refused caller is told to retry.
@@ -48,6 +51,20 @@
     pub answer_tokens: u64,
     /// Backend servers to skip, because an earlier try of this request failed there.
     pub avoid: Vec<HostId>,
+    /// Whether only backend servers will do that have answered a probe of late.
+    pub only_proven: bool,
+    /// The entry that passed the request on, if it did not come from a caller.
+    pub origin: Option<Origin>,
+}
+
+/// An entry whose requests this one sends to backend servers.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Origin {
+    /// Its name.
+    pub entry: EntryId,
+    /// The share of the slots of each backend server that its requests may take here, between 0
+    /// and 1. They take none of this entry's own share.
+    pub share: f64,
 }
 
 /// The backend server chosen for a request.
@@ -80,6 +97,8 @@
 
 #[derive(Debug)]
 struct RunningRequest {
+    /// The entry that passed it on, if it did not come from a caller.
+    origin: Option<EntryId>,
     prompt_tokens: u64,
     sent_at: Instant,
     first_event_at: Option<Instant>,
@@ -90,6 +109,8 @@
     replica: Replica,
     cold_until: Instant,
     avoid_until: Option<Instant>,
+    /// When it last answered on a new connection, unless it could not be reached since.
+    proven_at: Option<Instant>,
     /// How often it has reported that it was full since its last answer.
     full_in_a_row: u32,
     /// Requests of this entry that run here, by slot number.
@@ -200,6 +221,7 @@
                         cold_until,
                         replica: replica.clone(),
                         avoid_until: None,
+                        proven_at: None,
                         full_in_a_row: 0,
                         running: BTreeMap::new(),
                         last_progress: None,
@@ -232,12 +254,17 @@
         // When the first of the backend servers may be sent a request again.
         let mut opens_at: Option<Instant> = None;
         let mut best: Option<((f64, u64), HostId)> = None;
-        let share = self.share.unwrap_or(1.0 / self.entries as f64);
+        let origin = requirements.origin.as_ref();
+        let share = origin.map_or_else(|| self.share(), |origin| origin.share);
+        let origin = origin.map(|origin| &origin.entry);
         for backend in self.by_host.values_mut() {
             if !backend.offers(requirements) {
                 continue;
             }
             offered = true;
+            if requirements.only_proven && !backend.is_proven(now) {
+                continue;
+            }
             match self.notices.permit(&backend.replica, now) {
                 Permit::Now => {}
                 Permit::From(at) => {
@@ -261,7 +288,7 @@
             }
             opens_at = Some(now);
             if backend.avoid_until.is_some_and(|until| until > now)
-                || !backend.has_free_slot(service.engine.as_ref(), share)
+                || !backend.has_free_slot(service.engine.as_ref(), share, origin)
             {
                 continue;
             }
@@ -296,6 +323,7 @@
             limiters.named.record(now);
         }
         let request = RunningRequest {
+            origin: origin.cloned(),
             prompt_tokens: requirements.prompt_tokens,
             sent_at: now,
             first_event_at: None,
@@ -308,14 +336,20 @@
         })
     }
 
-    /// Adds a request to the measured demand, unless an earlier try of it was already counted.
+    /// This entry's share of the slots of each backend server.
+    pub fn share(&self) -> f64 {
+        self.share.unwrap_or(1.0 / self.entries as f64)
+    }
+
+    /// Adds a request to the measured demand, unless an earlier try of it was already counted, or
+    /// the entry that it came from counts it.
     fn record_demand(
         &mut self,
         requirements: &Requirements,
         engine: Option<&Engine>,
         now: Instant,
     ) {
-        if !requirements.avoid.is_empty() {
+        if !requirements.avoid.is_empty() || requirements.origin.is_some() {
             return;
         }
         self.demand.record_request(now);
@@ -386,9 +420,19 @@
 
     /// Skips a backend server for `UNREACHABLE_BACKOFF`, because it could not be reached.
     pub fn mark_unreachable(&mut self, host: &HostId, now: Instant) {
+        if let Some(backend) = self.by_host.get_mut(host) {
+            backend.proven_at = None;
+        }
         self.avoid(host, now + UNREACHABLE_BACKOFF);
     }
 
+    /// Records that a backend server has answered on a new connection.
+    pub fn mark_proven(&mut self, host: &HostId, now: Instant) {
+        if let Some(backend) = self.by_host.get_mut(host) {
+            backend.proven_at = Some(now);
+        }
+    }
+
     /// Skips a backend server for `FULL_BACKOFF` or a multiple, because it reported that it was full.
     pub fn mark_full(&mut self, host: &HostId, now: Instant) {
         let Some(backend) = self.by_host.get_mut(host) else {
@@ -434,6 +478,40 @@
             .collect()
     }
 
+    /// Backend servers at which to find out whether this entry reaches any: at most `count`, drawn
+    /// with `pick`, in as many failure domains as possible.
+    pub fn probe_targets(
+        &self,
+        count: usize,
+        mut pick: impl FnMut(usize) -> usize,
+    ) -> Vec<(HostId, SocketAddr)> {
+        let mut by_domain: BTreeMap<&DomainId, Vec<&Replica>> = BTreeMap::new();
+        for backend in self.by_host.values() {
+            by_domain.entry(&backend.replica.domain).or_default().push(&backend.replica);
+        }
+        let mut domains: VecDeque<Vec<&Replica>> = by_domain.into_values().collect();
+        if !domains.is_empty() {
+            domains.rotate_left(pick(domains.len()));
+        }
+        let mut targets = Vec::new();
+        while targets.len() < count
+            && let Some(mut replicas) = domains.pop_front()
+        {
+            let replica = replicas.swap_remove(pick(replicas.len()));
+            targets.push((replica.host.clone(), replica.address));
+            if !replicas.is_empty() {
+                domains.push_back(replicas);
+            }
+        }
+        targets
+    }
+
+    /// The entry of the view for an incarnation of a backend server.
+    pub fn replica(&self, host: &HostId, incarnation: Incarnation) -> Option<&Replica> {
+        let replica = &self.by_host.get(host)?.replica;
+        (replica.incarnation == incarnation).then_some(replica)
+    }
+
     /// The number of requests that this entry runs on each backend server.
     pub fn running(&self) -> impl Iterator<Item = (&HostId, usize)> {
         self.by_host.iter().map(|(host, backend)| (host, backend.running.len()))
@@ -452,6 +530,10 @@
 }
 
 impl Backend {
+    fn is_proven(&self, now: Instant) -> bool {
+        self.proven_at.is_some_and(|at| now.saturating_duration_since(at) < PROOF_TIME)
+    }
+
     fn offers(&self, requirements: &Requirements) -> bool {
         self.replica.service == requirements.service
             && !requirements.avoid.contains(&self.replica.host)
@@ -462,15 +544,17 @@
             }
     }
 
-    /// Whether fewer requests run than this entry's share of the slots allows.
-    fn has_free_slot(&self, engine: Option<&Engine>, share: f64) -> bool {
+    /// Whether fewer requests of one origin run than its share of the slots allows.
+    fn has_free_slot(&self, engine: Option<&Engine>, share: f64, origin: Option<&EntryId>) -> bool {
         let slots = match engine {
             Some(engine) => engine.slots as usize,
             None => self.replica.slots as usize * (1 + PLAIN_QUEUE_PER_SLOT),
         };
         // At least one slot: an entry with few callers has a small share, and could otherwise
         // serve none of them.
-        self.running.len() < (slots as f64 * share).ceil().max(1.0) as usize
+        let of_origin = |request: &&RunningRequest| request.origin.as_ref() == origin;
+        let running = self.running.values().filter(of_origin).count();
+        running < (slots as f64 * share).ceil().max(1.0) as usize
     }
 
     /// Number of running requests, plus the load of prompts that are still to be processed, in
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -5,13 +5,17 @@
 mod backends;
 mod budget;
 mod demand;
+mod links;
 mod notices;
 mod rate;
+mod relays;
 mod shutdown;
 mod table;
 
-pub use backends::{Backends, Choice, Refused, Requirements, SlotId};
+pub use backends::{Backends, Choice, Origin, Refused, Requirements, SlotId};
 pub use budget::RetryBudget;
+pub use links::{LinkState, Links, ProbeOutcome, Suspicion};
 pub use notices::Notice;
+pub use relays::{RelayChoice, Relays};
 pub use shutdown::Shutdown;
 pub use table::{KeyCheck, RouteTable};
--- a/crates/admission/tests/backends.rs
+++ b/crates/admission/tests/backends.rs
@@ -2,7 +2,7 @@
 
 mod sample;
 
-use admission::{Backends, Notice, Refused, Requirements};
+use admission::{Backends, Notice, Origin, Refused, Requirements};
 use fleet::{Replica, RoutingView};
 use googletest::prelude::*;
 use sample::manifest;
@@ -32,6 +32,7 @@
     RoutingView {
         replicas,
         entries: (0..entries).map(address).collect(),
+        relays: Vec::new(),
         senders: 0,
         is_complete: true,
     }
@@ -51,6 +52,8 @@
         prompt_tokens: 1000,
         answer_tokens: 100,
         avoid: avoid.iter().map(|host| (*host).into()).collect(),
+        only_proven: false,
+        origin: None,
     }
 }
 
@@ -367,3 +370,68 @@
     backends.mark_full(&"a".into(), at(5020));
     expect_true!(backends.choose(&requirements(&[]), at(5080)).is_ok());
 }
+
+/// Requirements of a request that an entry with this share has passed on.
+fn passed_on(entry: &str, share: f64) -> Requirements {
+    let origin = Origin { entry: entry.into(), share };
+    Requirements { origin: Some(origin), ..requirements(&[]) }
+}
+
+#[gtest]
+fn choose_passed_on_requests_take_no_slots_of_callers() {
+    let now = Instant::now();
+    let mut backends = backends(vec![replica("a", "near", Some(("g1", "large")))], 4, 0.0, now);
+    let taken = |backends: &mut Backends, requirements: &Requirements| {
+        (0..100).take_while(|_| backends.choose(requirements, now).is_ok()).count()
+    };
+    expect_that!(taken(&mut backends, &passed_on("e2", 0.5)), eq(SLOTS as usize / 2));
+    expect_that!(taken(&mut backends, &passed_on("e3", 0.1)), eq(3));
+    expect_that!(taken(&mut backends, &requirements(&[])), eq(SLOTS.div_ceil(4) as usize));
+}
+
+#[gtest]
+fn demand_counts_passed_on_requests_where_they_came_from() {
+    let now = Instant::now();
+    let mut backends = backends(vec![replica("a", "near", Some(("g1", "large")))], 4, 0.0, now);
+    expect_that!(backends.choose(&passed_on("e2", 0.5), now), ok(anything()));
+    expect_that!(backends.request_rate(now), eq(0.0));
+    // An entry without links, which finds no server that it reaches, counts the request.
+    let unreached = Requirements { only_proven: true, ..requirements(&[]) };
+    expect_that!(backends.choose(&unreached, now), err(anything()));
+    expect_that!(backends.request_rate(now), gt(0.0));
+}
+
+#[gtest]
+fn choose_only_proven_servers() {
+    let start = Instant::now();
+    let replicas = ["a", "b"].map(|host| replica(host, "near", Some((host, "large"))));
+    let mut backends = backends(replicas.to_vec(), 1, 0.0, start);
+    let only_proven = Requirements { only_proven: true, ..requirements(&[]) };
+    backends.mark_proven(&"b".into(), start);
+    for _ in 0..3 {
+        let choice = backends.choose(&only_proven, start).expect("a server");
+        expect_that!(&*choice.replica.host, eq("b"));
+    }
+    backends.mark_unreachable(&"b".into(), start);
+    expect_that!(backends.choose(&only_proven, start), err(anything()));
+    backends.mark_proven(&"a".into(), start);
+    let late = start + Duration::from_secs(4);
+    expect_that!(backends.choose(&only_proven, late), err(anything()));
+}
+
+#[gtest]
+fn probe_targets_are_in_all_failure_domains() {
+    let now = Instant::now();
+    let replicas = [("a", "x"), ("b", "x"), ("c", "x"), ("d", "y"), ("e", "z")];
+    let replicas = replicas.map(|(host, domain)| replica(host, domain, Some((host, "large"))));
+    let backends = backends(replicas.to_vec(), 1, 0.0, now);
+    let hosts = |count: usize| -> Vec<Box<str>> {
+        let targets = backends.probe_targets(count, |count| count - 1);
+        targets.into_iter().map(|(host, _)| host).collect()
+    };
+    expect_that!(
+        hosts(3),
+        unordered_elements_are![eq(&Box::from("c")), eq(&Box::from("d")), eq(&Box::from("e"))]
+    );
+    expect_that!(hosts(9), len(eq(5)));
+}
--- a/crates/admission/tests/limits.rs
+++ b/crates/admission/tests/limits.rs
@@ -37,6 +37,8 @@
         prompt_tokens: 1,
         answer_tokens: 1,
         avoid: Vec::new(),
+        only_proven: false,
+        origin: None,
     }
 }
 
@@ -49,7 +51,8 @@
 }
 
 fn view(limit: Option<LimitReport>, senders: usize) -> RoutingView {
-    RoutingView { replicas: vec![replica(limit)], entries: Vec::new(), senders, is_complete: true }
+    let (entries, relays) = (Vec::new(), Vec::new());
+    RoutingView { replicas: vec![replica(limit)], entries, relays, senders, is_complete: true }
 }
 
 fn entry(number: usize, count: usize, now: Instant) -> Backends {
--- a/crates/admission/tests/random.rs
+++ b/crates/admission/tests/random.rs
@@ -101,8 +101,12 @@
             self.hosts.insert(host, ExpectedHost { model, group, cold_until, avoid_until, full });
         }
         self.running.retain(|host, _| self.hosts.contains_key(host));
-        let view =
-            RoutingView { replicas, entries: Vec::new(), senders: self.entries, is_complete: true };
+        let view = RoutingView {
+            replicas,
+            senders: self.entries,
+            is_complete: true,
+            ..RoutingView::default()
+        };
         self.backends.set_view(view, self.now);
     }
 
@@ -116,6 +120,8 @@
             prompt_tokens: self.rng.u64(1..4000),
             answer_tokens: self.rng.u64(1..400),
             avoid: avoid.clone(),
+            only_proven: false,
+            origin: None,
         };
         let offers = |host: &HostId, expected: &ExpectedHost| {
             expected.model == model && !avoid.contains(host)
--- a/crates/coordinator/src/leader/entries.rs
+++ b/crates/coordinator/src/leader/entries.rs
@@ -63,7 +63,7 @@
         now: Instant,
     ) {
         let mut status = match message {
-            EntryMessage::Status(status) => status,
+            EntryMessage::Status(status) => *status,
             EntryMessage::Evidence(observations) => {
                 if self.log.node.holds_lease(now) {
                     self.handle_evidence(observations, now);
@@ -74,9 +74,16 @@
         match &mut self.leader_state {
             Some(leader) if self.log.node.holds_lease(now) => {
                 let before = leader.entries.get(&session);
-                let has_changed = before.is_none_or(|(before, _)| before.accepts != status.accepts);
+                let has_changed = before.is_none_or(|(before, _)| {
+                    before.accepts != status.accepts || before.relay != status.relay
+                });
                 if has_changed {
-                    info!("event=entry entry={} accepts={}", status.entry, status.accepts);
+                    info!(
+                        "event=entry entry={} accepts={} relays={}",
+                        status.entry,
+                        status.accepts,
+                        status.relay.is_some()
+                    );
                     leader.changed = true;
                 }
                 leader.has_traffic |= status.forwarded > 0;
@@ -112,7 +119,12 @@
         let mut entries: Vec<_> = entries.map(|(status, _)| status.address).collect();
         entries.sort_unstable();
         entries.dedup();
-        let entries = EntrySummary { accepting: entries, senders: leader.entries.len() };
+        let relays = leader.entries.values().filter_map(|(status, _)| status.relay.clone());
+        let mut relays: Vec<_> = relays.collect();
+        relays.sort_unstable();
+        relays.dedup();
+        let senders = leader.entries.len();
+        let entries = EntrySummary { accepting: entries, relays, senders };
         let mut view = routing_view(
             &leader.planner,
             &leader.registry,
--- a/crates/coordinator/tests/driver.rs
+++ b/crates/coordinator/tests/driver.rs
@@ -122,10 +122,11 @@
 }
 
 fn status(manifest: Option<u64>) -> EntryMessage {
-    EntryMessage::Status(EntryStatus {
+    EntryMessage::Status(Box::new(EntryStatus {
         entry: "e".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 8000)),
         accepts: true,
+        relay: None,
         forwarded: 0,
         demand: vec![],
         request_rate: 0.0,
@@ -133,7 +134,7 @@
         stalled: vec![],
         manifest,
         limits: vec![],
-    })
+    }))
 }
 
 /// Starts a driver on an empty disk. It stops when the process does.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,7 +26,7 @@
 };
 pub use packed::{PackedManifest, UnpackError, pack, unpack};
 pub use rate::{HostLimit, LimitReport, RateShare};
-pub use view::{Replica, RoutingView};
+pub use view::{Relay, Replica, RoutingView};
 
 /// The name of a group of hosts, unique across all terms of leadership.
 pub type GroupName = Box<str>;
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -1,6 +1,6 @@
 //! Messages between control processes, and between entries and control.
 
-use crate::{GroupName, HostLimit, PackedManifest, RateShare, RoutingView};
+use crate::{GroupName, HostLimit, PackedManifest, RateShare, Relay, RoutingView};
 use model::ids::{ControlId, CulpritId, DomainId, EntryId, ModelId, RequestDigest};
 use quarantine::Observation;
 use replog::Envelope;
@@ -51,6 +51,8 @@
     pub address: SocketAddr,
     /// Whether it accepts new callers.
     pub accepts: bool,
+    /// Where it takes requests of other entries, if it reaches backend servers.
+    pub relay: Option<Relay>,
     /// Requests that it has forwarded since it started.
     pub forwarded: u64,
     /// Recent demand by model, as the number of groups that it would fully load.
@@ -72,7 +74,7 @@
 pub enum EntryMessage {
     /// The status of the entry: the first message of a session, then sent periodically and after
     /// each manifest.
-    Status(EntryStatus),
+    Status(Box<EntryStatus>),
     /// Observations of the entry that this session has not sent yet.
     Evidence(Vec<Observation>),
 }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -15,6 +15,8 @@
     pub replicas: Vec<Replica>,
     /// Addresses of the entries that accept callers.
     pub entries: Vec<SocketAddr>,
+    /// The entries that take requests of entries without links to backend servers.
+    pub relays: Vec<Relay>,
     /// The number of entries that may send requests, including those that accept no callers now.
     pub senders: usize,
     /// Whether all hosts have had the time to report to this leader. An entry uses an incomplete
@@ -37,6 +39,7 @@
                 && has_limit(a) == has_limit(b)
         };
         self.entries == other.entries
+            && self.relays == other.relays
             && self.senders == other.senders
             && self.is_complete == other.is_complete
             && self.replicas.len() == other.replicas.len()
@@ -44,6 +47,15 @@
     }
 }
 
+/// An entry that takes requests of other entries, which reach no backend server.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Relay {
+    /// The address on which it takes them.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainId,
+}
+
 /// A backend server that takes requests: a plain one, or the head of a group.
 ///
 /// In `model`, a replica of a model is a whole group, and one of a service is a backend server.
--- a/crates/gateway/src/control_client.rs
+++ b/crates/gateway/src/control_client.rs
@@ -107,7 +107,7 @@
             let now = Instant::now();
             if now >= next_status_at {
                 next_status_at = now + STATUS_INTERVAL;
-                let status = EntryMessage::Status(self.state.status());
+                let status = EntryMessage::Status(Box::new(self.state.status()));
                 if session.tx.try_send(status).is_err() {
                     break;
                 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -3,9 +3,9 @@
 use crate::refusal::Refusal;
 use admission::Notice;
 use http::Body;
-use hyper::{HeaderMap, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use model::ids::{HostId, ModelId, PromptPartId, TeamId};
-use std::{fmt, time::Duration};
+use std::{fmt, net::SocketAddr, time::Duration};
 
 /// What the headers of a request say about it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -62,6 +62,12 @@
     /// Parses the headers of a request.
     fn parse_request(&self, headers: &HeaderMap) -> RequestInfo;
 
+    /// Removes the caller's API key, which no other process is to see.
+    fn remove_key(&self, headers: &mut HeaderMap);
+
+    /// Builds a request to a backend server that takes no slot and runs nothing.
+    fn probe_request(&self, host: &HostId, address: SocketAddr) -> Request<Body>;
+
     /// Turns a caller's headers into those of the request to a backend server.
     fn prepare_request(&self, headers: &mut HeaderMap, info: &ForwardInfo<'_>);
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -3,13 +3,17 @@
 use crate::{
     dialect::{Dialect, ForwardInfo, RequestInfo, ResponseKind},
     digest::request_digest,
+    links::LinkMonitor,
     metrics::GatewayMetrics,
     refusal::Refusal,
+    relay::{Answerer, RelayGuard, Relayed},
     state::GatewayState,
 };
-use admission::{Choice, KeyCheck, Refused, Requirements, RouteTable, SlotId};
+use admission::{
+    Choice, KeyCheck, LinkState, Origin, Refused, Requirements, RouteTable, SlotId, Suspicion,
+};
 use async_io::Timer;
-use base::sync::lock;
+use base::{secret::Secret, sync::lock};
 use bytes::Bytes;
 use fleet::{Replica, Route, RouteKind};
 use futures_lite::FutureExt;
@@ -26,10 +30,11 @@
     ids::{HostId, RequestDigest, ServiceId, TeamId},
     verdict::Verdict,
 };
-use net::with_timeout;
+use net::{Pool, with_timeout};
 use quarantine::BrokenRequest;
 use std::{
     net::SocketAddr,
+    pin::pin,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -43,6 +48,8 @@
 /// Longest wait for the response headers if the request may be retried at another backend
 /// server: several times what a fully loaded engine takes for a long prompt.
 const FIRST_RESPONSE_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Time without a response after which a request is a reason to probe the links.
+const SUSPECT_AFTER: Duration = Duration::from_millis(500);
 /// Longest wait for a slot to retry a request that may have run: about the time in which a slot
 /// becomes free in a fully loaded system.
 const SLOT_WAIT: Duration = Duration::from_millis(600);
@@ -69,11 +76,16 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) client: Arc<Client>,
     pub(crate) metrics: GatewayMetrics,
+    pub(crate) links: Arc<LinkMonitor>,
+    /// The secret shared by the system's processes.
+    pub(crate) relay_secret: Secret,
 }
 
 /// A request that is being proxied.
 #[derive(Debug)]
 pub(crate) struct ProxyRequest {
+    /// The entry that passed it on, if it did not come from a caller.
+    pub(crate) origin: Option<Origin>,
     pub(crate) info: RequestInfo,
     pub(crate) digest: RequestDigest,
     pub(crate) service: ServiceId,
@@ -98,6 +110,27 @@
 }
 
 impl ProxyRequest {
+    pub(crate) fn requirements(&self) -> Requirements {
+        Requirements {
+            service: self.service.clone(),
+            model: self.info.model.clone(),
+            prompt_tokens: self.info.prompt_tokens,
+            answer_tokens: self.info.answer_tokens,
+            avoid: self.avoid.clone(),
+            only_proven: false,
+            origin: self.origin.clone(),
+        }
+    }
+
+    /// The refusal if no backend server takes the request any more: `refusal`, unless it may have
+    /// run.
+    pub(crate) fn unserved(&self, refusal: Refusal) -> Refusal {
+        match self.verdict {
+            Verdict::NotRun => refusal,
+            _ => Refusal::ResponseLost,
+        }
+    }
+
     /// The evidence that remains if a backend server closes the connection. `began` says whether
     /// it had begun to answer, `had_event` whether a part of the answer had arrived.
     pub(crate) fn broken(&self, began: bool, had_event: bool, now: Instant) -> BrokenRequest {
@@ -127,14 +160,38 @@
     }
 }
 
+/// Where a response comes from, with what it holds there until its end.
+#[derive(Debug)]
+pub(crate) enum ResponseSource {
+    /// A backend server.
+    Server(SlotGuard),
+    /// Another entry, which passes on the response of a backend server.
+    Relay(RelayGuard),
+}
+
+impl ResponseSource {
+    /// Records that a part of the response has arrived.
+    pub(crate) fn record_progress(&self) {
+        match self {
+            ResponseSource::Server(slot) => slot.record_progress(),
+            ResponseSource::Relay(relay) => relay.record_progress(),
+        }
+    }
+
+    pub(crate) fn is_relay(&self) -> bool {
+        matches!(self, ResponseSource::Relay(_))
+    }
+}
+
 /// A backend server's response to this request, with its body still to be read.
 #[derive(Debug)]
 pub(crate) struct BackendResponse {
     pub(crate) response: Response<Incoming>,
     pub(crate) connection: Connection,
+    /// The other end of the connection.
     pub(crate) address: SocketAddr,
-    pub(crate) host: HostId,
-    pub(crate) slot: SlotGuard,
+    pub(crate) answerer: Answerer,
+    pub(crate) source: ResponseSource,
 }
 
 /// Why an attempt returned no response.
@@ -142,6 +199,8 @@
 pub(crate) struct AttemptError {
     pub(crate) verdict: Verdict,
     pub(crate) cause: Box<str>,
+    /// How it may show that the links are lost.
+    pub(crate) suspicion: Option<Suspicion>,
 }
 
 impl Gateway {
@@ -151,8 +210,17 @@
         dialect: Arc<dyn Dialect>,
         client: Arc<Client>,
         metrics: GatewayMetrics,
+        relay_secret: Secret,
+        pool: Pool,
     ) -> Gateway {
-        Gateway { state, dialect, client, metrics }
+        let links = Arc::new(LinkMonitor::new(
+            pool,
+            state.clone(),
+            dialect.clone(),
+            client.clone(),
+            metrics.clone(),
+        ));
+        Gateway { state, dialect, client, metrics, links, relay_secret }
     }
 
     async fn answer(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
@@ -220,20 +288,7 @@
         if !self.state.accepts(deadline) {
             return Err(Refusal::Leaving);
         }
-        let left = deadline.saturating_duration_since(self.state.clock.now());
-        let body = match with_timeout(left, collect(body, limit)).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(BodyError::TooLong { .. })) => return Err(Refusal::BodyTooLarge),
-            Ok(Err(BodyError::Broken(_) | BodyError::Unproductive(_))) => {
-                return Err(Refusal::BodyTruncated);
-            }
-            Ok(Err(BodyError::OverBudget { .. })) => {
-                return Err(Refusal::BodiesFull { retry_after: BODIES_RETRY_AFTER });
-            }
-            Ok(Err(BodyError::TimedOut)) | Err(_) => {
-                return Err(Refusal::TimedOut { verdict: Verdict::NotRun });
-            }
-        };
+        let body = self.read_body(body, limit, deadline).await?;
         let caller = team.as_ref().map(|team| &team.0);
         let digest = request_digest(host_of(&parts), &parts.method, &parts.uri, caller, &body);
         if let Some(retry_after) = self.state.request_blocked_for(digest) {
@@ -242,6 +297,7 @@
         let service = pick_service(route);
         self.state.count_request(&service);
         Ok(ProxyRequest {
+            origin: None,
             digest,
             after_event: info.after_event,
             service,
@@ -263,6 +319,29 @@
         })
     }
 
+    /// Reads the whole body of a request until its deadline.
+    pub(crate) async fn read_body(
+        &self,
+        body: Incoming,
+        limit: usize,
+        deadline: Instant,
+    ) -> Result<Bytes, Refusal> {
+        let left = deadline.saturating_duration_since(self.state.clock.now());
+        match with_timeout(left, collect(body, limit)).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(BodyError::TooLong { .. })) => Err(Refusal::BodyTooLarge),
+            Ok(Err(BodyError::Broken(_) | BodyError::Unproductive(_))) => {
+                Err(Refusal::BodyTruncated)
+            }
+            Ok(Err(BodyError::OverBudget { .. })) => {
+                Err(Refusal::BodiesFull { retry_after: BODIES_RETRY_AFTER })
+            }
+            Ok(Err(BodyError::TimedOut)) | Err(_) => {
+                Err(Refusal::TimedOut { verdict: Verdict::NotRun })
+            }
+        }
+    }
+
     /// Sends a request to one backend server after another until one responds or no further
     /// attempt is allowed.
     pub(crate) async fn dispatch(
@@ -275,11 +354,27 @@
                 return Err(Refusal::TimedOut { verdict: request.verdict });
             }
             self.check_quarantine(request)?;
-            let choice = match self.choose_backend(request, now) {
-                Err(Refusal::ResponseLost) if request.kind.may_retry() => {
-                    self.wait_for_slot(request).await?
+            let links = self.state.link_state();
+            let proven = match links {
+                LinkState::Down => self.choose_proven(request, now),
+                _ => None,
+            };
+            let should_relay = match links {
+                LinkState::Up => false,
+                // A request that has failed over these links takes another way.
+                LinkState::Suspect => request.attempts > 0 && request.origin.is_none(),
+                LinkState::Down => proven.is_none(),
+            };
+            if should_relay {
+                match self.relay(request).await? {
+                    Relayed::Answered(response) => return Ok(*response),
+                    Relayed::Refused(refusal) if links == LinkState::Down => return Err(refusal),
+                    Relayed::Refused(_) => {}
                 }
-                choice => choice?,
+            }
+            let choice = match proven {
+                Some(choice) => choice,
+                None => self.choose_or_wait(request, now).await?,
             };
             request.attempts += 1;
             request.sent_at = now;
@@ -290,13 +385,24 @@
                 remaining
             };
             let host = choice.replica.host.clone();
-            let result = with_timeout(timeout, self.attempt(request, choice)).await;
+            let result = {
+                let mut attempt = pin!(self.attempt(request, choice));
+                let first = timeout.min(SUSPECT_AFTER);
+                match with_timeout(first, attempt.as_mut()).await {
+                    Ok(result) => Ok(result),
+                    Err(_) => {
+                        self.links.suspect(&host, Suspicion::Silence(now));
+                        with_timeout(timeout - first, attempt).await
+                    }
+                }
+            };
             let error = match result {
                 Ok(Ok(response)) => return Ok(response),
                 Ok(Err(error)) => error,
                 Err(_) if timeout < remaining => AttemptError {
                     verdict: Verdict::MayHaveRun,
                     cause: "no response in time".into(),
+                    suspicion: Some(Suspicion::Silence(now)),
                 },
                 Err(_) => {
                     request.verdict = Verdict::MayHaveRun;
@@ -312,15 +418,36 @@
                 request.info.shared_parts,
                 error.cause
             );
-            request.avoid.push(host);
+            request.avoid.push(host.clone());
             if error.verdict == Verdict::MayHaveRun {
                 request.verdict = Verdict::MayHaveRun;
                 request.attempts_left -= 1;
             }
+            let may_retry = request.verdict.permits_retry(request.kind.may_retry());
+            if let Some(suspicion) = error.suspicion.filter(|_| may_retry)
+                && self.links.check(&host, suspicion).await != LinkState::Up
+                && error.verdict == Verdict::NotRun
+            {
+                // Nothing has arrived at any backend server, so this attempt costs no retry.
+                continue;
+            }
             self.authorize_retry(request)?;
         }
     }
 
+    async fn choose_or_wait(
+        &self,
+        request: &ProxyRequest,
+        now: Instant,
+    ) -> Result<Choice, Refusal> {
+        match self.choose_backend(request, now) {
+            Err(Refusal::ResponseLost) if request.kind.may_retry() => {
+                self.wait_for_slot(request).await
+            }
+            choice => choice,
+        }
+    }
+
     /// Waits up to `SLOT_WAIT` for a slot to retry a request that may have run. Failing it at
     /// once would waste the work already done for it.
     async fn wait_for_slot(&self, request: &ProxyRequest) -> Result<Choice, Refusal> {
@@ -337,7 +464,7 @@
     }
 
     /// Checks that neither the request nor a part of its prompt is in quarantine.
-    fn check_quarantine(&self, request: &ProxyRequest) -> Result<(), Refusal> {
+    pub(crate) fn check_quarantine(&self, request: &ProxyRequest) -> Result<(), Refusal> {
         let parts_blocked_for = self.state.parts_blocked_for(&request.info.shared_parts);
         let blocked_for = self.state.request_blocked_for(request.digest).max(parts_blocked_for);
         match (blocked_for, request.verdict) {
@@ -360,38 +487,40 @@
         }
     }
 
+    /// Chooses among the backend servers that this entry still reaches while its links are down.
+    fn choose_proven(&self, request: &ProxyRequest, now: Instant) -> Option<Choice> {
+        let requirements = Requirements { only_proven: true, ..request.requirements() };
+        let choice = lock(&self.state.backends).choose(&requirements, now).ok()?;
+        self.log_choice(request, &choice, now);
+        Some(choice)
+    }
+
     fn choose_backend(&self, request: &ProxyRequest, now: Instant) -> Result<Choice, Refusal> {
-        let requirements = Requirements {
-            service: request.service.clone(),
-            model: request.info.model.clone(),
-            prompt_tokens: request.info.prompt_tokens,
-            answer_tokens: request.info.answer_tokens,
-            avoid: request.avoid.clone(),
-        };
-        let chosen = lock(&self.state.backends).choose(&requirements, now);
+        let chosen = lock(&self.state.backends).choose(&request.requirements(), now);
         let refused = match chosen {
             Ok(choice) => {
-                info!(
-                    "event=placed id={} host={} group={} try={} running={} left_ms={} view_age_ms={}",
-                    request.info.id,
-                    choice.replica.host,
-                    choice.replica.group.as_ref().map_or("-", |(name, _)| name),
-                    request.attempts + 1,
-                    choice.running,
-                    request.deadline.saturating_duration_since(now).as_millis(),
-                    self.state.view_age_ms()
-                );
+                self.log_choice(request, &choice, now);
                 return Ok(choice);
             }
             Err(refused) => refused,
         };
-        if request.verdict != Verdict::NotRun {
-            return Err(Refusal::ResponseLost);
-        }
-        Err(match refused {
+        Err(request.unserved(match refused {
             Refused::NoServer => Refusal::NoServer { retry_after: NO_SERVER_RETRY_AFTER },
             Refused::Full(retry_after) => Refusal::Full { retry_after },
-        })
+        }))
+    }
+
+    fn log_choice(&self, request: &ProxyRequest, choice: &Choice, now: Instant) {
+        info!(
+            "event=placed id={} host={} group={} try={} running={} left_ms={} view_age_ms={}",
+            request.info.id,
+            choice.replica.host,
+            choice.replica.group.as_ref().map_or("-", |(name, _)| name),
+            request.attempts + 1,
+            choice.running,
+            request.deadline.saturating_duration_since(now).as_millis(),
+            self.state.view_age_ms()
+        );
     }
 
     async fn attempt(
@@ -413,9 +542,13 @@
             Err(e) => {
                 lock(&self.state.backends).mark_unreachable(&replica.host, now());
                 if e.is_refused() {
-                    lock(&self.state.evidence).record_unreachable(&replica.host, now());
+                    self.record_unreachable(&replica.host).await;
                 }
-                return Err(AttemptError { verdict: Verdict::NotRun, cause: e.to_string().into() });
+                return Err(AttemptError {
+                    verdict: Verdict::NotRun,
+                    cause: e.to_string().into(),
+                    suspicion: Some(Suspicion::Connection),
+                });
             }
         };
         let mut outgoing = Request::new(full(request.body.clone()));
@@ -443,9 +576,15 @@
                     let broken = request.broken(false, false, now());
                     self.record_broken(&replica.host, replica.address, request.kind, broken).await;
                 }
-                return Err(AttemptError { verdict: e.verdict(), cause: describe(&e).into() });
+                let suspicion = e.is_closed_by_peer().then_some(Suspicion::Connection);
+                let cause = describe(&e).into();
+                return Err(AttemptError { verdict: e.verdict(), cause, suspicion });
             }
         };
+        lock(&self.state.links).record_answer(!connection.is_reused(), now());
+        if !connection.is_reused() {
+            lock(&self.state.backends).mark_proven(&replica.host, now());
+        }
         let kind = self.dialect.classify_response(
             response.status(),
             response.headers(),
@@ -457,31 +596,38 @@
         }
         match kind {
             ResponseKind::Own => {
-                let (address, host) = (replica.address, replica.host);
-                Ok(BackendResponse { response, connection, address, host, slot })
+                let Replica { address, host, incarnation, .. } = replica;
+                let answerer = Answerer { host, incarnation };
+                let source = ResponseSource::Server(slot);
+                Ok(BackendResponse { response, connection, address, answerer, source })
             }
             ResponseKind::Foreign => {
                 self.metrics.foreign_responses.inc();
                 Err(AttemptError {
                     verdict: Verdict::MayHaveRun,
                     cause: "response to another request".into(),
+                    suspicion: None,
                 })
             }
             ResponseKind::NotRun => {
                 // The connection is not reused: a faulty server may send the refusal again.
                 lock(&self.state.backends).mark_full(&replica.host, now());
                 let cause = format!("not run, status {}", response.status().as_u16());
-                Err(AttemptError { verdict: Verdict::NotRun, cause: cause.into() })
+                Err(AttemptError { verdict: Verdict::NotRun, cause: cause.into(), suspicion: None })
             }
             ResponseKind::WrongServer => {
                 lock(&self.state.backends).mark_unreachable(&replica.host, now());
-                Err(AttemptError { verdict: Verdict::NotRun, cause: "wrong server".into() })
+                Err(AttemptError {
+                    verdict: Verdict::NotRun,
+                    cause: "wrong server".into(),
+                    suspicion: None,
+                })
             }
         }
     }
 
     /// Records what a backend server says of itself in a response.
-    fn record_notice(
+    pub(crate) fn record_notice(
         &self,
         request: &ProxyRequest,
         replica: &Replica,
@@ -504,6 +650,7 @@
     }
 
     /// Records that a backend server closed the connection of a request, and whether it still runs.
+    /// If the links are not up, it may not have closed it.
     pub(crate) async fn record_broken(
         &self,
         host: &HostId,
@@ -512,8 +659,18 @@
         broken: BrokenRequest,
     ) {
         let now = self.state.clock.now();
-        lock(&self.state.evidence).record_broken(host, broken, now);
-        self.is_running(host, address, kind).await;
+        if self.links.check(host, Suspicion::Connection).await == LinkState::Up {
+            lock(&self.state.evidence).record_broken(host, broken, now);
+            self.is_running(host, address, kind).await;
+        }
+    }
+
+    /// Records that a backend server refused a connection. If the links are not up, it may not have.
+    async fn record_unreachable(&self, host: &HostId) {
+        let now = self.state.clock.now();
+        if self.links.check(host, Suspicion::Connection).await == LinkState::Up {
+            lock(&self.state.evidence).record_unreachable(host, now);
+        }
     }
 
     /// Whether a backend server accepts a new connection, after one that it closed: the server may
@@ -533,8 +690,7 @@
             }
             Err(e) => {
                 if e.is_refused() {
-                    let now = self.state.clock.now();
-                    lock(&self.state.evidence).record_unreachable(host, now);
+                    self.record_unreachable(host).await;
                 }
                 false
             }
@@ -606,7 +762,8 @@
     route.shares.first().map(|share| share.service.clone()).unwrap_or_default()
 }
 
-fn origin_form(uri: &Uri) -> Uri {
+/// The path and query of a request.
+pub(crate) fn origin_form(uri: &Uri) -> Uri {
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
     path.parse().unwrap_or_default()
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -1,10 +1,13 @@
 //! Reasons for which a request is refused or fails.
 
 use model::verdict::Verdict;
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
 use std::time::Duration;
 
 /// Why a caller gets no response of a backend server.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Refusal {
     /// This process has not received a manifest yet.
     NoManifest,
@@ -19,21 +22,31 @@
     /// The bodies of all requests take as much memory as they may.
     BodiesFull {
         /// When the caller should retry.
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
         retry_after: Duration,
     },
     /// No backend server offers what the request needs.
     NoServer {
         /// When the caller should retry.
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
         retry_after: Duration,
     },
     /// All slots are taken.
     Full {
         /// When the caller should retry.
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
         retry_after: Duration,
     },
     /// The request, or a part of its prompt, has crashed backend servers.
     Quarantined {
         /// When the caller should retry: at the end of the quarantine.
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        retry_after: Duration,
+    },
+    /// Neither this entry nor any other one reaches a backend server.
+    NoPath {
+        /// When the caller should retry.
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
         retry_after: Duration,
     },
     /// This process is shutting down.
@@ -43,6 +56,7 @@
     /// The backend servers tried have not run the request.
     NotRun {
         /// When the caller should retry.
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
         retry_after: Duration,
     },
     /// The response was lost or is unreadable. The request may have run.
@@ -67,6 +81,7 @@
             Refusal::NoServer { .. } => "no_server",
             Refusal::Full { .. } => "full",
             Refusal::Quarantined { .. } => "quarantined",
+            Refusal::NoPath { .. } => "no_path",
             Refusal::Leaving => "leaving",
             Refusal::Stopped => "stopped",
             Refusal::NotRun { .. } => "not_run",
@@ -82,12 +97,18 @@
             | Refusal::NoServer { retry_after }
             | Refusal::Full { retry_after }
             | Refusal::Quarantined { retry_after }
+            | Refusal::NoPath { retry_after }
             | Refusal::NotRun { retry_after } => Some(*retry_after),
             Refusal::NoManifest | Refusal::Leaving => Some(Duration::ZERO),
             _ => None,
         }
     }
 
+    /// Whether the entry that refuses takes no requests of other entries now.
+    pub(crate) fn takes_no_requests(&self) -> bool {
+        matches!(self, Refusal::NoPath { .. } | Refusal::Leaving | Refusal::NoManifest)
+    }
+
     /// Whether the request may have run.
     pub fn verdict(&self) -> Verdict {
         match self {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,10 +1,10 @@
 //! The state that the tasks of an entry share.
 
-use admission::{Backends, RetryBudget, RouteTable, Shutdown};
+use admission::{Backends, LinkState, Links, Relays, RetryBudget, RouteTable, Shutdown};
 use async_io::Timer;
 use base::{clock::Clock, sync::lock};
-use fleet::{EntryStatus, Manifest, RoutingView};
-use model::ids::{CulpritId, DomainId, EntryId, PromptPartId, RequestDigest, ServiceId};
+use fleet::{EntryStatus, Manifest, Relay, RoutingView};
+use model::ids::{CulpritId, EntryId, PromptPartId, RequestDigest, ServiceId};
 use net::Stop;
 use quarantine::{Blocklist, EvidenceLog};
 use std::{
@@ -49,6 +49,10 @@
     retry_budget: RetryBudgetConfig,
     table: Mutex<Option<Arc<RouteTable>>>,
     pub(crate) backends: Mutex<Backends>,
+    pub(crate) links: Mutex<Links>,
+    pub(crate) relays: Mutex<Relays>,
+    /// Where this entry takes requests of others.
+    relay: Relay,
     budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
     directory: Mutex<Vec<SocketAddr>>,
     view_received_at: Mutex<Option<Instant>>,
@@ -68,11 +72,12 @@
 }
 
 impl GatewayState {
-    /// Creates the state of an entry without a manifest or a view.
+    /// Creates the state of an entry without a manifest or a view, which takes requests of other
+    /// entries at `relay`.
     pub fn new(
         name: EntryId,
         address: SocketAddr,
-        domain: DomainId,
+        relay: Relay,
         retry_budget: RetryBudgetConfig,
         clock: Arc<dyn Clock>,
     ) -> GatewayState {
@@ -82,7 +87,10 @@
             clock,
             retry_budget,
             table: Mutex::default(),
-            backends: Mutex::new(Backends::new(domain, fastrand::f64())),
+            backends: Mutex::new(Backends::new(relay.domain.clone(), fastrand::f64())),
+            links: Mutex::default(),
+            relays: Mutex::new(Relays::new(relay.domain.clone())),
+            relay,
             budgets: Mutex::default(),
             directory: Mutex::default(),
             view_received_at: Mutex::default(),
@@ -164,6 +172,7 @@
         }
         self.has_complete_view.store(view.is_complete, Ordering::Release);
         *lock(&self.directory) = view.entries.clone();
+        lock(&self.relays).set_view(&view.relays, Some(self.relay.address));
         lock(&self.backends).set_view(view, self.clock.now());
         *lock(&self.view_received_at) = Some(self.clock.now());
     }
@@ -194,6 +203,11 @@
         lock(&self.view_received_at).map_or(0, |at| now.saturating_duration_since(at).as_millis())
     }
 
+    /// Whether this entry reaches backend servers.
+    pub fn link_state(&self) -> LinkState {
+        lock(&self.links).state()
+    }
+
     /// Counts a request sent to a backend server.
     pub(crate) fn count_forwarded(&self) {
         self.forwarded.fetch_add(1, Ordering::Relaxed);
@@ -202,6 +216,8 @@
     /// The status that this entry reports to control.
     pub(crate) fn status(&self) -> EntryStatus {
         let now = self.clock.now();
+        let links = self.link_state();
+        let takes_relayed = links != LinkState::Down && !self.is_leaving();
         let backends = lock(&self.backends);
         EntryStatus {
             demand: backends.demand(now),
@@ -211,7 +227,12 @@
             accepts: self.is_ready(),
             forwarded: self.forwarded.load(Ordering::Relaxed),
             progressing: backends.progressing(PROGRESS_WINDOW, now),
-            stalled: backends.stalled(STALLED_AFTER, now),
+            // Without links, all heads seem to stall.
+            stalled: match links {
+                LinkState::Up => backends.stalled(STALLED_AFTER, now),
+                _ => Vec::new(),
+            },
+            relay: takes_relayed.then(|| self.relay.clone()),
             manifest: self.manifest_number(),
             limits: backends.limits(now),
         }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -2,12 +2,14 @@
 
 use crate::{
     dispatch::{
-        BackendResponse, Gateway, ProxyRequest, SlotGuard, closes_connection,
+        BackendResponse, Gateway, ProxyRequest, ResponseSource, closes_connection,
         strip_hop_by_hop_headers,
     },
     events::EventBuffer,
     refusal::Refusal,
+    relay::Answerer,
 };
+use admission::Suspicion;
 use base::sync::lock;
 use bytes::Bytes;
 use fleet::RouteKind;
@@ -20,7 +22,7 @@
     header::{self, HeaderValue},
 };
 use log::info;
-use model::{ids::HostId, verdict::Verdict};
+use model::verdict::Verdict;
 use net::with_timeout;
 use std::{
     io,
@@ -32,6 +34,8 @@
 /// Longest wait for the next event of a stream that another backend server could resume: the time
 /// of several passes of a fully loaded engine.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(700);
+/// The same for a stream that comes over another entry, which resumes it itself if it can.
+const RELAYED_EVENT_TIMEOUT: Duration = Duration::from_millis(1500);
 /// The media type of event streams.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
@@ -88,9 +92,9 @@
     body: Incoming,
     connection: Connection,
     address: SocketAddr,
-    host: HostId,
+    answerer: Answerer,
     reusable: bool,
-    slot: SlotGuard,
+    source: ResponseSource,
     framing: Framing,
     /// Whether the body consists of events, each of which ends with a blank line.
     is_event_stream: bool,
@@ -125,6 +129,7 @@
             return self.buffer_response(&request, backend_response).await;
         }
         let (mut parts, upstream) = Upstream::new(backend_response);
+        parts.extensions.insert(upstream.answerer.clone());
         strip_hop_by_hop_headers(&mut parts.headers);
         let relay = StreamRelay {
             gateway: self,
@@ -146,7 +151,7 @@
 
 impl Upstream {
     fn new(backend_response: BackendResponse) -> (hyper::http::response::Parts, Upstream) {
-        let BackendResponse { response, connection, address, host, slot } = backend_response;
+        let BackendResponse { response, connection, address, answerer, source } = backend_response;
         let (parts, body) = response.into_parts();
         let reusable = !closes_connection(&parts.headers);
         let framing = Framing::of(&parts.headers, &body);
@@ -154,9 +159,9 @@
             body,
             connection,
             address,
-            host,
+            answerer,
             reusable,
-            slot,
+            source,
             framing,
             is_event_stream: is_event_stream(&parts.headers),
             has_sent_event: false,
@@ -178,7 +183,8 @@
         } else if self.framing == Framing::Connection && !self.has_sent_event {
             Some("the connection ended before the first event")
         } else if self.framing == Framing::Connection
-            && !gateway.is_running(&self.host, self.address, kind).await
+            && (self.source.is_relay()
+                || !gateway.is_running(&self.answerer.host, self.address, kind).await)
         {
             Some("the connection ended with its server")
         } else {
@@ -186,6 +192,13 @@
         }
     }
 
+    fn record_progress(&self, gateway: &Gateway, now: Instant) {
+        self.source.record_progress();
+        if !self.source.is_relay() {
+            lock(&gateway.state.links).record_answer(false, now);
+        }
+    }
+
     async fn next(&mut self, timeout: Duration) -> ReadResult {
         loop {
             match with_timeout(timeout, self.body.frame()).await {
@@ -227,8 +240,12 @@
             let Some(upstream) = &mut self.upstream else {
                 return Some(self.fail("no backend server"));
             };
+            let event_timeout = match upstream.source.is_relay() {
+                true => RELAYED_EVENT_TIMEOUT,
+                false => EVENT_TIMEOUT,
+            };
             let timeout = if resumable && !self.waits_until_deadline {
-                remaining.min(EVENT_TIMEOUT)
+                remaining.min(event_timeout)
             } else {
                 remaining
             };
@@ -242,7 +259,7 @@
             match read {
                 ReadResult::Bytes(bytes) => {
                     let now = self.gateway.state.clock.now();
-                    upstream.slot.record_progress();
+                    upstream.record_progress(&self.gateway, now);
                     let pushed = self.events.push(&bytes).map_err(|e| e.to_string());
                     let held = self.held.resize(self.events.partial_len());
                     let events = match held.map_err(|e| e.to_string()).and(pushed) {
@@ -285,6 +302,7 @@
                     }
                 }
                 ReadResult::TimedOut if timeout < remaining => {
+                    self.check_silence(now).await;
                     self.record_failure("no event in time");
                     let upstream = self.upstream.take();
                     if !self.resume().await {
@@ -304,10 +322,28 @@
         let Some(upstream) = &self.upstream else {
             return;
         };
+        if upstream.source.is_relay() {
+            return;
+        }
         let now = self.gateway.state.clock.now();
         let broken = self.request.broken(true, upstream.has_sent_event, now);
         let kind = self.request.kind;
-        self.gateway.record_broken(&upstream.host, upstream.address, kind, broken).await;
+        let host = &upstream.answerer.host;
+        self.gateway.record_broken(host, upstream.address, kind, broken).await;
+    }
+
+    /// Finds out whether the links are lost, or the relay is, after no event since `waits_since`.
+    async fn check_silence(&self, waits_since: Instant) {
+        let Some(upstream) = &self.upstream else {
+            return;
+        };
+        match &upstream.source {
+            ResponseSource::Relay(relay) => relay.mark_silent(waits_since),
+            ResponseSource::Server(_) => {
+                let suspicion = Suspicion::Silence(waits_since);
+                self.gateway.links.check(&upstream.answerer.host, suspicion).await;
+            }
+        }
     }
 
     /// Logs that the current backend server failed the stream, and excludes it from retries.
@@ -319,14 +355,14 @@
         info!(
             "event=stream_broken id={} host={} framing={} after_event={:?} partial_bytes={} request={:x} parts={:x?} cause=\"{cause}\"",
             request.info.id,
-            upstream.host,
+            upstream.answerer.host,
             upstream.framing.as_str(),
             request.after_event,
             self.events.partial_len(),
             request.digest,
             request.info.shared_parts
         );
-        request.avoid.push(upstream.host.clone());
+        request.avoid.push(upstream.answerer.host.clone());
         request.verdict = Verdict::MayHaveRun;
         request.attempts_left = request.attempts_left.saturating_sub(1);
     }
@@ -355,7 +391,10 @@
                     return false;
                 }
                 self.gateway.metrics.streams_resumed.inc();
-                info!("event=stream_resumed id={} host={}", request.info.id, upstream.host);
+                info!(
+                    "event=stream_resumed id={} host={}",
+                    request.info.id, upstream.answerer.host
+                );
                 self.upstream = Some(upstream);
                 // The new backend server sends an event that was received in part again in full.
                 self.events.clear();
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -19,10 +19,13 @@
     pub(crate) async fn unary(&self, mut request: ProxyRequest) -> Result<Response<Body>, Refusal> {
         loop {
             let backend_response = self.dispatch(&mut request).await?;
-            let host = backend_response.host.clone();
+            let host = backend_response.answerer.host.clone();
+            let is_relayed = backend_response.source.is_relay();
             match self.buffer_response(&request, backend_response).await {
                 Ok(response) => {
+                    // A relay has retried it already.
                     let should_retry = response.status().is_server_error()
+                        && !is_relayed
                         && request.kind.may_retry()
                         && request.attempts_left > 1;
                     if !should_retry {
@@ -65,7 +68,8 @@
         request: &ProxyRequest,
         backend_response: BackendResponse,
     ) -> Result<Response<Body>, Refusal> {
-        let BackendResponse { response, connection, address, host, slot } = backend_response;
+        let BackendResponse { response, connection, address, answerer, source } = backend_response;
+        let host = &answerer.host;
         let parts = &request.info.shared_parts;
         let remaining = request.deadline.saturating_duration_since(self.state.clock.now());
         let status = response.status();
@@ -80,20 +84,23 @@
                     request.info.id,
                     e.to_string().replace('"', "'")
                 );
-                if matches!(e, BodyError::Broken(_)) {
+                if matches!(e, BodyError::Broken(_)) && !source.is_relay() {
                     let broken = request.broken(true, false, self.state.clock.now());
-                    self.record_broken(&host, address, request.kind, broken).await;
+                    self.record_broken(host, address, request.kind, broken).await;
                 }
                 return Err(Refusal::ResponseLost);
             }
             Err(_) => return Err(Refusal::TimedOut { verdict: Verdict::MayHaveRun }),
         };
-        if framing == Framing::Connection && !self.is_running(&host, address, request.kind).await {
+        if framing == Framing::Connection
+            && !source.is_relay()
+            && !self.is_running(host, address, request.kind).await
+        {
             let broken = request.broken(true, false, self.state.clock.now());
-            self.record_broken(&host, address, request.kind, broken).await;
+            self.record_broken(host, address, request.kind, broken).await;
             return Err(Refusal::ResponseLost);
         }
-        slot.record_progress();
+        source.record_progress();
         let now = self.state.clock.now();
         lock(&self.state.evidence).record_request_answered(request.digest, now);
         if status.is_success() {
@@ -114,6 +121,7 @@
             framing.as_str(),
             bytes.len()
         );
+        head.extensions.insert(answerer);
         Ok(Response::from_parts(head, full(bytes)))
     }
 }
--- a/crates/groups/src/view.rs
+++ b/crates/groups/src/view.rs
@@ -1,7 +1,7 @@
 //! Builds the routing view from groups and reports.
 
 use crate::{HostStatus, Limits, Planner, Registry};
-use fleet::{Replica, RoutingView};
+use fleet::{Relay, Replica, RoutingView};
 use model::ids::DomainId;
 use std::{collections::BTreeSet, net::SocketAddr, time::Instant};
 
@@ -10,6 +10,8 @@
 pub struct EntrySummary {
     /// Addresses of entries that accept callers.
     pub accepting: Vec<SocketAddr>,
+    /// The entries that take requests of others.
+    pub relays: Vec<Relay>,
     /// Number of entries that may send requests.
     pub senders: usize,
 }
@@ -45,8 +47,8 @@
             && !domains_out.contains(&status.report.domain)
     });
     replicas.extend(plain.map(|status| replica_of(status, now)));
-    let EntrySummary { accepting, senders } = entries;
-    RoutingView { replicas, entries: accepting, senders, is_complete }
+    let EntrySummary { accepting, relays, senders } = entries;
+    RoutingView { replicas, entries: accepting, relays, senders, is_complete }
 }
 
 fn replica_of(status: &HostStatus, now: Instant) -> Replica {
