Keep closed servers closed while they are out of the view

Callers see no more than refusals, but a server that had said with 503 and Retry-After how long it wants no requests was sent them again before that time, once it had been out of the view for a minute: what a server says was forgotten a minute after it had left the view, however long it held.

A notice now stays at least until the server opens.

--- a/crates/admission/src/notices.rs
+++ b/crates/admission/src/notices.rs
@@ -7,8 +7,8 @@
     time::{Duration, Instant},
 };
 
-/// How long a notice is kept after its host has left the view, so that a short absence does not
-/// undo it.
+/// How long a notice is kept at least after its host has left the view, so that a short absence does
+/// not undo it.
 const RETENTION: Duration = Duration::from_secs(60);
 /// Longest time for which a backend server is sent nothing because it said so.
 const MAX_CLOSED: Duration = Duration::from_secs(300);
@@ -137,7 +137,8 @@
         self.by_host.retain(|host, notices| {
             let is_current = |incarnation: &Incarnation| *incarnation == notices.incarnation;
             incarnations.get(host).is_none_or(is_current)
-                && now.saturating_duration_since(notices.seen_at) < RETENTION
+                && (now.saturating_duration_since(notices.seen_at) < RETENTION
+                    || notices.closed_until.is_some_and(|until| until > now))
         });
     }
 
--- a/crates/admission/tests/backends.rs
+++ b/crates/admission/tests/backends.rs
@@ -336,6 +336,23 @@
     expect_true!(backends.choose(&requirements(&[]), now + Duration::from_secs(5)).is_ok());
 }
 
+/// Guards against a closed server that is sent requests because it was out of the view for a while.
+#[gtest]
+fn record_notice_forgotten_while_out_of_the_view() {
+    let now = Instant::now();
+    let group = replica("a", "near", Some(("g1", "large")));
+    let mut backends = backends(vec![group.clone()], 1, 0.0, now);
+    let notice = Notice { closed_for: Some(Duration::from_secs(200)), ..Notice::default() };
+    backends.record_notice(&group, &notice, now, now);
+    for second in [1, 70, 140] {
+        backends.set_view(view(vec![], 1), now + Duration::from_secs(second));
+    }
+    let back = now + Duration::from_secs(150);
+    backends.set_view(view(vec![group], 1), back);
+    expect_true!(backends.choose(&requirements(&[]), back).is_err());
+    expect_true!(backends.choose(&requirements(&[]), now + Duration::from_secs(200)).is_ok());
+}
+
 /// Guards against a time that is added to the clock and overflows.
 #[gtest]
 fn record_notice_closed_for_ever() {
