Probe no servers that want no requests

While links are suspect or down, an entry probes servers of the view at random, also those that had said that they leave or how long they want no requests: as many as 12 a second from one entry.

Probes go to other servers.

--- a/crates/admission/src/backends.rs
+++ b/crates/admission/src/backends.rs
@@ -479,15 +479,17 @@
     }
 
     /// Backend servers at which to find out whether this entry reaches any: at most `count`, drawn
-    /// with `pick`, in as many failure domains as possible.
+    /// with `pick`, in as many failure domains as possible, and none that wants no requests now.
     pub fn probe_targets(
         &self,
         count: usize,
+        now: Instant,
         mut pick: impl FnMut(usize) -> usize,
     ) -> Vec<(HostId, SocketAddr)> {
         let mut by_domain: BTreeMap<&DomainId, Vec<&Replica>> = BTreeMap::new();
-        for backend in self.by_host.values() {
-            by_domain.entry(&backend.replica.domain).or_default().push(&backend.replica);
+        let replicas = self.by_host.values().map(|backend| &backend.replica);
+        for replica in replicas.filter(|r| self.notices.permit(r, now) == Permit::Now) {
+            by_domain.entry(&replica.domain).or_default().push(replica);
         }
         let mut domains: VecDeque<Vec<&Replica>> = by_domain.into_values().collect();
         if !domains.is_empty() {
--- a/crates/admission/tests/backends.rs
+++ b/crates/admission/tests/backends.rs
@@ -353,6 +353,25 @@
     expect_true!(backends.choose(&requirements(&[]), now + Duration::from_secs(200)).is_ok());
 }
 
+/// Guards against probes of servers that want no requests now.
+#[gtest]
+fn probe_targets_include_closed_servers() {
+    let now = Instant::now();
+    let replicas = ["a", "b", "c"].map(|host| replica(host, "near", Some((host, "large"))));
+    let mut backends = backends(replicas.to_vec(), 1, 0.0, now);
+    let closed = Notice { closed_for: Some(Duration::from_secs(3)), ..Notice::default() };
+    backends.record_notice(&replicas[0], &closed, now, now);
+    let leaving = Notice { leaving: true, ..Notice::default() };
+    backends.record_notice(&replicas[1], &leaving, now, now);
+    let hosts = |at| -> Vec<Box<str>> {
+        let targets = backends.probe_targets(3, at, |_| 0);
+        targets.into_iter().map(|(host, _)| host).collect()
+    };
+    expect_that!(hosts(now), elements_are![eq(&Box::from("c"))]);
+    let open = hosts(now + Duration::from_secs(3));
+    expect_that!(open, unordered_elements_are![eq(&Box::from("a")), eq(&Box::from("c"))]);
+}
+
 /// Guards against a time that is added to the clock and overflows.
 #[gtest]
 fn record_notice_closed_for_ever() {
@@ -443,7 +462,7 @@
     let replicas = replicas.map(|(host, domain)| replica(host, domain, Some((host, "large"))));
     let backends = backends(replicas.to_vec(), 1, 0.0, now);
     let hosts = |count: usize| -> Vec<Box<str>> {
-        let targets = backends.probe_targets(count, |count| count - 1);
+        let targets = backends.probe_targets(count, now, |count| count - 1);
         targets.into_iter().map(|(host, _)| host).collect()
     };
     expect_that!(
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -105,8 +105,9 @@
 
     /// Probes servers in several failure domains, until one answers unless the round `is_full`.
     async fn probe_round(self: &Arc<Self>, is_full: bool) -> Vec<ProbeOutcome> {
+        let now = self.state.clock.now();
         let targets =
-            lock(&self.state.backends).probe_targets(PROBES, |count| fastrand::usize(..count));
+            lock(&self.state.backends).probe_targets(PROBES, now, |count| fastrand::usize(..count));
         let count = targets.len();
         let (tx, rx) = bounded(PROBES);
         let mut probes = Vec::new();
