Use servers that were proven since the suspicion only, and check each lost connection

Its entry knew after 0.5 ms that the links were down, and resumed the stream at a server that had answered on a new connection before the cut (log of the run): a proof of before says nothing. Likewise, an answer within 20 ms before a connection was lost counted as proof that the links were up.

Servers are used while the links are down only if they have answered since the suspicion, and each lost connection starts probes unless some are under way. From reading: the time left is read again after relays have refused, relays that take no requests don't decide what the caller is told, a relay leaves the size of bodies to the first entry, and the list of servers to avoid is bounded.

--- a/crates/admission/src/backends.rs
+++ b/crates/admission/src/backends.rs
@@ -51,8 +51,9 @@
     pub answer_tokens: u64,
     /// Backend servers to skip, because an earlier try of this request failed there.
     pub avoid: Vec<HostId>,
-    /// Whether only backend servers will do that have answered a probe of late.
-    pub only_proven: bool,
+    /// If set, only backend servers will do that have answered on a new connection since this time,
+    /// and of late.
+    pub proven_since: Option<Instant>,
     /// The entry that passed the request on, if it did not come from a caller.
     pub origin: Option<Origin>,
 }
@@ -262,7 +263,7 @@
                 continue;
             }
             offered = true;
-            if requirements.only_proven && !backend.is_proven(now) {
+            if requirements.proven_since.is_some_and(|since| !backend.is_proven(since, now)) {
                 continue;
             }
             match self.notices.permit(&backend.replica, now) {
@@ -532,8 +533,9 @@
 }
 
 impl Backend {
-    fn is_proven(&self, now: Instant) -> bool {
-        self.proven_at.is_some_and(|at| now.saturating_duration_since(at) < PROOF_TIME)
+    fn is_proven(&self, since: Instant, now: Instant) -> bool {
+        let is_valid = |at| at >= since && now.saturating_duration_since(at) < PROOF_TIME;
+        self.proven_at.is_some_and(is_valid)
     }
 
     fn offers(&self, requirements: &Requirements) -> bool {
--- a/crates/admission/src/links.rs
+++ b/crates/admission/src/links.rs
@@ -6,8 +6,6 @@
     time::{Duration, Instant},
 };
 
-/// How long an answer on a new connection shows that new connections work.
-const CONNECTION_PROOF: Duration = Duration::from_millis(20);
 /// Shortest time without any answer in which a request that waits is a reason to probe the links.
 const SILENCE_MIN: Duration = Duration::from_millis(300);
 /// Time without any answer after which links that accept connections count as lost. Sound servers
@@ -85,8 +83,8 @@
     state: LinkState,
     /// When any server last answered.
     answered_at: Option<Instant>,
-    /// When a server last answered on a new connection.
-    connected_at: Option<Instant>,
+    /// When the last series of probes was started.
+    suspected_at: Option<Instant>,
     /// Since when no server has answered, at the earliest, while the links are not up.
     silent_since: Option<Instant>,
     /// When requests to each server last failed, within `FAILURE_SPAN`.
@@ -99,29 +97,32 @@
         self.state
     }
 
-    /// Records that a backend server answered a request of a caller.
-    pub fn record_answer(&mut self, is_new_connection: bool, now: Instant) {
+    /// When the suspicion arose that has shown that the links are down, if they are.
+    pub fn down_since(&self) -> Option<Instant> {
+        self.suspected_at.filter(|_| self.state == LinkState::Down)
+    }
+
+    /// Records that a backend server has sent something.
+    pub fn record_answer(&mut self, now: Instant) {
         self.answered_at = Some(now);
-        if is_new_connection {
-            self.connected_at = Some(now);
-        }
     }
 
     /// Takes note of a request that has failed at `host`. Returns whether probes must be started.
     pub fn suspect(&mut self, host: &HostId, suspicion: Suspicion, now: Instant) -> bool {
         self.failures.retain(|_, at| now.saturating_duration_since(*at) < FAILURE_SPAN);
         self.failures.insert(host.clone(), now);
-        let within = |at: Option<Instant>, time| {
-            at.is_some_and(|at| now.saturating_duration_since(at) < time)
-        };
         let is_refuted = match suspicion {
-            Suspicion::Connection => within(self.connected_at, CONNECTION_PROOF),
-            Suspicion::Silence(_) => within(self.answered_at, SILENCE_MIN),
+            // The links may have been lost just after the last answer.
+            Suspicion::Connection => false,
+            Suspicion::Silence(_) => {
+                self.answered_at.is_some_and(|at| now.saturating_duration_since(at) < SILENCE_MIN)
+            }
         };
         if self.state != LinkState::Up || is_refuted {
             return false;
         }
         self.state = LinkState::Suspect;
+        self.suspected_at = Some(now);
         self.silent_since = match suspicion {
             Suspicion::Connection => Some(now),
             Suspicion::Silence(sent_at) => Some(sent_at),
@@ -147,7 +148,7 @@
         let count = |outcome| outcomes.iter().filter(|other| **other == outcome).count();
         let answered = count(ProbeOutcome::Answered);
         if answered > 0 {
-            self.record_answer(true, now);
+            self.record_answer(now);
         }
         if !is_full && answered > 0 && self.needs_full_round(now) {
             return self.state;
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -117,7 +117,7 @@
             prompt_tokens: self.info.prompt_tokens,
             answer_tokens: self.info.answer_tokens,
             avoid: self.avoid.clone(),
-            only_proven: false,
+            proven_since: None,
             origin: self.origin.clone(),
         }
     }
@@ -349,16 +349,13 @@
         request: &mut ProxyRequest,
     ) -> Result<BackendResponse, Refusal> {
         loop {
-            let now = self.state.clock.now();
+            let mut now = self.state.clock.now();
             if now >= request.deadline {
                 return Err(Refusal::TimedOut { verdict: request.verdict });
             }
             self.check_quarantine(request)?;
-            let links = self.state.link_state();
-            let proven = match links {
-                LinkState::Down => self.choose_proven(request, now),
-                _ => None,
-            };
+            let (links, down_since) = self.state.links();
+            let proven = down_since.and_then(|since| self.choose_proven(request, since, now));
             let should_relay = match links {
                 LinkState::Up => false,
                 // A request that has failed over these links takes another way.
@@ -369,7 +366,7 @@
                 match self.relay(request).await? {
                     Relayed::Answered(response) => return Ok(*response),
                     Relayed::Refused(refusal) if links == LinkState::Down => return Err(refusal),
-                    Relayed::Refused(_) => {}
+                    Relayed::Refused(_) => now = self.state.clock.now(),
                 }
             }
             let choice = match proven {
@@ -488,8 +485,14 @@
     }
 
     /// Chooses among the backend servers that this entry still reaches while its links are down.
-    fn choose_proven(&self, request: &ProxyRequest, now: Instant) -> Option<Choice> {
-        let requirements = Requirements { only_proven: true, ..request.requirements() };
+    fn choose_proven(
+        &self,
+        request: &ProxyRequest,
+        down_since: Instant,
+        now: Instant,
+    ) -> Option<Choice> {
+        let requirements =
+            Requirements { proven_since: Some(down_since), ..request.requirements() };
         let choice = lock(&self.state.backends).choose(&requirements, now).ok()?;
         self.log_choice(request, &choice, now);
         Some(choice)
@@ -581,7 +584,7 @@
                 return Err(AttemptError { verdict: e.verdict(), cause, suspicion });
             }
         };
-        lock(&self.state.links).record_answer(!connection.is_reused(), now());
+        lock(&self.state.links).record_answer(now());
         if !connection.is_reused() {
             lock(&self.state.backends).mark_proven(&replica.host, now());
         }
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -39,6 +39,9 @@
 /// Maximum number of relays at which a request fails, besides those that take no requests.
 const MAX_FAILURES: usize = 3;
 
+/// Maximum number of failed backend servers that a relay is told, which bounds the header.
+const MAX_AVOIDED: usize = 64;
+
 /// A request at a relay, which counts in its load until it is dropped.
 #[derive(Debug)]
 pub(crate) struct RelayGuard {
@@ -94,12 +97,12 @@
     ///
     /// Fails if no further attempt is allowed.
     pub(crate) async fn relay(&self, request: &mut ProxyRequest) -> Result<Relayed, Refusal> {
-        let mut tried = Vec::new();
-        let mut failures = 0;
         let mut refusal = Refusal::NoPath { retry_after: NO_PATH_RETRY_AFTER };
         if request.origin.is_some() {
             return Ok(Relayed::Refused(request.unserved(refusal)));
         }
+        let mut tried = Vec::new();
+        let mut failures = 0;
         while failures < MAX_FAILURES {
             let now = self.state.clock.now();
             if now >= request.deadline {
@@ -130,9 +133,11 @@
                         cause.code(),
                         cause.verdict().header_value()
                     );
-                    failures += usize::from(!cause.takes_no_requests());
                     let verdict = cause.verdict();
-                    refusal = cause;
+                    if !cause.takes_no_requests() {
+                        failures += 1;
+                        refusal = cause;
+                    }
                     verdict
                 }
                 Err(RelayError::Failed(error)) => {
@@ -250,7 +255,7 @@
             digest: request.digest,
             timeout: request.deadline.saturating_duration_since(now),
             attempts_left: request.attempts_left,
-            avoid: request.avoid.clone(),
+            avoid: request.avoid.iter().rev().take(MAX_AVOIDED).cloned().collect(),
             after_event: request.after_event,
         };
         let mut outgoing = Request::new(full(request.body.clone()));
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -92,7 +92,9 @@
         head: RelayedRequest,
     ) -> Result<ProxyRequest, Refusal> {
         let received_at = self.state.clock.now();
-        let table = self.state.table().ok_or(Refusal::NoManifest)?;
+        if self.state.table().is_none() {
+            return Err(Refusal::NoManifest);
+        }
         if self.state.is_leaving() {
             return Err(Refusal::Leaving);
         }
@@ -105,7 +107,8 @@
             head.timeout.as_millis()
         );
         let deadline = received_at + head.timeout;
-        let body = self.read_body(body, table.manifest().limits.body_bytes, deadline).await?;
+        // The other entry has checked its size, maybe against another version of the manifest.
+        let body = self.read_body(body, usize::MAX, deadline).await?;
         self.metrics.relay_requests.inc();
         Ok(ProxyRequest {
             origin: Some(Origin { entry: head.entry, share: head.share }),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -208,6 +208,12 @@
         lock(&self.links).state()
     }
 
+    /// Whether this entry reaches backend servers, and since when it does not.
+    pub(crate) fn links(&self) -> (LinkState, Option<Instant>) {
+        let links = lock(&self.links);
+        (links.state(), links.down_since())
+    }
+
     /// Counts a request sent to a backend server.
     pub(crate) fn count_forwarded(&self) {
         self.forwarded.fetch_add(1, Ordering::Relaxed);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -195,7 +195,7 @@
     fn record_progress(&self, gateway: &Gateway, now: Instant) {
         self.source.record_progress();
         if !self.source.is_relay() {
-            lock(&gateway.state.links).record_answer(false, now);
+            lock(&gateway.state.links).record_answer(now);
         }
     }
 
