Hold failures while links are down instead of dropping them

Cause: failures were dropped while links were not up. When a request has crashed three of four servers, probes fail too, and the links seem to be down; since each lost connection is checked, so that this was met often.

A failure that may be due to the links is now held for half a second. An answer of the same run of its server over another entry refutes it; otherwise it counts with its age. Where no other entry is known, it counts at once.

--- a/crates/admission/src/relays.rs
+++ b/crates/admission/src/relays.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Whether no other entry takes requests of this one.
+    pub fn is_empty(&self) -> bool {
+        self.by_address.is_empty()
+    }
+
     /// Chooses the least loaded relay that is not in `tried`, and counts a request there until
     /// [`Relays::release`].
     pub fn choose(&mut self, tried: &[SocketAddr], now: Instant) -> Option<RelayChoice> {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -545,7 +545,7 @@
             Err(e) => {
                 lock(&self.state.backends).mark_unreachable(&replica.host, now());
                 if e.is_refused() {
-                    self.record_unreachable(&replica.host).await;
+                    self.record_failure(&Answerer::of(&replica), None).await;
                 }
                 return Err(AttemptError {
                     verdict: Verdict::NotRun,
@@ -577,7 +577,8 @@
             Err(e) => {
                 if e.is_closed_by_peer() {
                     let broken = request.broken(false, false, now());
-                    self.record_broken(&replica.host, replica.address, request.kind, broken).await;
+                    let server = Answerer::of(&replica);
+                    self.record_broken(&server, replica.address, request.kind, broken).await;
                 }
                 let suspicion = e.is_closed_by_peer().then_some(Suspicion::Connection);
                 let cause = describe(&e).into();
@@ -599,8 +600,7 @@
         }
         match kind {
             ResponseKind::Own => {
-                let Replica { address, host, incarnation, .. } = replica;
-                let answerer = Answerer { host, incarnation };
+                let (address, answerer) = (replica.address, Answerer::of(&replica));
                 let source = ResponseSource::Server(slot);
                 Ok(BackendResponse { response, connection, address, answerer, source })
             }
@@ -653,26 +653,31 @@
     }
 
     /// Records that a backend server closed the connection of a request, and whether it still runs.
-    /// If the links are not up, it may not have closed it.
     pub(crate) async fn record_broken(
         &self,
-        host: &HostId,
+        server: &Answerer,
         address: SocketAddr,
         kind: RouteKind,
         broken: BrokenRequest,
     ) {
-        let now = self.state.clock.now();
-        if self.links.check(host, Suspicion::Connection).await == LinkState::Up {
-            lock(&self.state.evidence).record_broken(host, broken, now);
-            self.is_running(host, address, kind).await;
-        }
+        self.record_failure(server, Some(broken)).await;
+        self.is_running(server, address, kind).await;
     }
 
-    /// Records that a backend server refused a connection. If the links are not up, it may not have.
-    async fn record_unreachable(&self, host: &HostId) {
+    /// Records that a backend server closed the connection of `broken`, or refused one. If the links
+    /// are not up, it may not have, which it can show to other entries.
+    async fn record_failure(&self, server: &Answerer, broken: Option<BrokenRequest>) {
+        let Answerer { host, incarnation } = server;
         let now = self.state.clock.now();
-        if self.links.check(host, Suspicion::Connection).await == LinkState::Up {
-            lock(&self.state.evidence).record_unreachable(host, now);
+        let links = self.links.check(host, Suspicion::Connection).await;
+        let has_relays = !lock(&self.state.relays).is_empty();
+        let mut evidence = lock(&self.state.evidence);
+        match broken {
+            broken if links != LinkState::Up && has_relays => {
+                evidence.hold(host, *incarnation, broken, now);
+            }
+            Some(broken) => evidence.record_broken(host, broken, now),
+            None => evidence.record_unreachable(host, now),
         }
     }
 
@@ -680,7 +685,7 @@
     /// have ended with it.
     pub(crate) async fn is_running(
         &self,
-        host: &HostId,
+        server: &Answerer,
         address: SocketAddr,
         kind: RouteKind,
     ) -> bool {
@@ -693,7 +698,7 @@
             }
             Err(e) => {
                 if e.is_refused() {
-                    self.record_unreachable(host).await;
+                    self.record_failure(server, None).await;
                 }
                 false
             }
--- a/crates/gateway/src/relay/head.rs
+++ b/crates/gateway/src/relay/head.rs
@@ -1,7 +1,7 @@
 //! What an entry says of a request that it passes on to another entry.
 
 use crate::refusal::Refusal;
-use fleet::{Incarnation, RouteKind};
+use fleet::{Incarnation, Replica, RouteKind};
 use hyper::{HeaderMap, header::HeaderValue};
 use model::ids::{EntryId, HostId, RequestDigest, ServiceId, TeamId};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -53,6 +53,12 @@
     pub(crate) incarnation: Incarnation,
 }
 
+impl Answerer {
+    pub(crate) fn of(replica: &Replica) -> Answerer {
+        Answerer { host: replica.host.clone(), incarnation: replica.incarnation }
+    }
+}
+
 /// Encodes the value of a `RELAY_HEADER`. `None` if it holds what no header may hold.
 pub(crate) fn encode<T: Serialize>(value: &T) -> Option<HeaderValue> {
     HeaderValue::from_bytes(&serde_json::to_vec(value).ok()?).ok()
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -215,6 +215,11 @@
         match take(response.headers_mut()) {
             Some(RelayedResponse::Answered(answerer)) => {
                 self.record_relayed_notice(request, &answerer, &response);
+                lock(&self.state.evidence).record_running(
+                    &answerer.host,
+                    answerer.incarnation,
+                    request.sent_at,
+                );
                 Ok(BackendResponse {
                     response,
                     connection,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -184,7 +184,7 @@
             Some("the connection ended before the first event")
         } else if self.framing == Framing::Connection
             && (self.source.is_relay()
-                || !gateway.is_running(&self.answerer.host, self.address, kind).await)
+                || !gateway.is_running(&self.answerer, self.address, kind).await)
         {
             Some("the connection ended with its server")
         } else {
@@ -328,8 +328,7 @@
         let now = self.gateway.state.clock.now();
         let broken = self.request.broken(true, upstream.has_sent_event, now);
         let kind = self.request.kind;
-        let host = &upstream.answerer.host;
-        self.gateway.record_broken(host, upstream.address, kind, broken).await;
+        self.gateway.record_broken(&upstream.answerer, upstream.address, kind, broken).await;
     }
 
     /// Finds out whether the links are lost, or the relay is, after no event since `waits_since`.
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -86,7 +86,7 @@
                 );
                 if matches!(e, BodyError::Broken(_)) && !source.is_relay() {
                     let broken = request.broken(true, false, self.state.clock.now());
-                    self.record_broken(host, address, request.kind, broken).await;
+                    self.record_broken(&answerer, address, request.kind, broken).await;
                 }
                 return Err(Refusal::ResponseLost);
             }
@@ -94,10 +94,10 @@
         };
         if framing == Framing::Connection
             && !source.is_relay()
-            && !self.is_running(host, address, request.kind).await
+            && !self.is_running(&answerer, address, request.kind).await
         {
             let broken = request.broken(true, false, self.state.clock.now());
-            self.record_broken(host, address, request.kind, broken).await;
+            self.record_broken(&answerer, address, request.kind, broken).await;
             return Err(Refusal::ResponseLost);
         }
         source.record_progress();
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -10,6 +10,9 @@
 
 /// How long observations are kept, to be sent again to a new leader.
 const RETENTION: Duration = Duration::from_secs(120);
+/// How long a failure is held that may be due to the links, so that its backend server can show
+/// over another entry that it runs on.
+const HOLD_TIME: Duration = Duration::from_millis(500);
 /// Maximum number of failures kept.
 const MAX_FAILURES: usize = 512;
 /// Maximum number of parts of which the last answer is kept.
@@ -64,10 +67,21 @@
     pub lasted: Duration,
 }
 
+/// A failure that may be due to the links of this entry.
+#[derive(Debug)]
+struct HeldFailure {
+    at: Instant,
+    host: HostId,
+    incarnation: u64,
+    kind: ObservationKind,
+}
+
 /// The recent observations of an entry, of which a session sends each one once.
 #[derive(Debug, Default)]
 pub struct EvidenceLog {
     failures: VecDeque<(Instant, ObservationKind)>,
+    /// Failures that don't count yet, oldest first.
+    held: VecDeque<HeldFailure>,
     /// When each part was last answered.
     answered: BTreeMap<PromptPartId, Instant>,
     answered_requests: AnsweredRequests,
@@ -88,6 +102,34 @@
         self.push(ObservationKind::Unreachable { host: host.clone() }, now);
     }
 
+    /// Records a failure of an incarnation of a backend server that may be due to the links of this
+    /// entry. It counts after `HOLD_TIME`, unless [`EvidenceLog::record_running`] refutes it.
+    pub fn hold(
+        &mut self,
+        host: &HostId,
+        incarnation: u64,
+        request: Option<BrokenRequest>,
+        now: Instant,
+    ) {
+        let host = host.clone();
+        let kind = match request {
+            Some(request) => ObservationKind::Broken { host: host.clone(), request },
+            None => ObservationKind::Unreachable { host: host.clone() },
+        };
+        if self.held.len() >= MAX_FAILURES {
+            self.held.pop_front();
+        }
+        self.held.push_back(HeldFailure { at: now, host, incarnation, kind });
+    }
+
+    /// Records that an incarnation of a backend server has answered another entry, to a request that
+    /// was sent at `sent_at`, so that it has not failed before.
+    pub fn record_running(&mut self, host: &HostId, incarnation: u64, sent_at: Instant) {
+        self.held.retain(|held| {
+            held.host != *host || held.incarnation != incarnation || held.at > sent_at
+        });
+    }
+
     /// Records that a request with these parts was answered, at least in part.
     pub fn record_answered(&mut self, parts: &[PromptPartId], now: Instant) {
         for part in parts {
@@ -117,6 +159,9 @@
 
     /// Returns the observations that have not been sent in this session.
     pub fn take_unsent(&mut self, now: Instant) -> Vec<Observation> {
+        while let Some(held) = self.held.pop_front_if(|held| held.at + HOLD_TIME <= now) {
+            self.push(held.kind, held.at);
+        }
         self.expire(now);
         let age = |at: Instant| now.saturating_duration_since(at);
         let first = self.failures.len() - self.unsent_failures;
