--- a/review/stand-2/src/bin/slow_reader.rs
+++ b/review/stand-2/src/bin/slow_reader.rs
@@ -131,7 +131,7 @@
     stream.set_read_timeout(Some(Duration::from_secs(30))).expect("a socket option");
     limit_receive_buffer(&stream);
     if has_trouble {
-        system.terminate_entry();
+        system.signal_entry("TERM");
         record.add("SIGTERM sent to the entry");
     }
     let signalled = Instant::now();
--- a/review/stand-2/src/lib.rs
+++ b/review/stand-2/src/lib.rs
@@ -225,10 +225,10 @@
         false
     }
 
-    /// Tells the entry to stop.
-    pub fn terminate_entry(&self) {
+    /// Sends a signal to the entry.
+    pub fn signal_entry(&self, signal: &str) {
         let id = self.entry_process.id().to_string();
-        let status = Command::new("kill").args(["-TERM", &id]).status();
+        let status = Command::new("kill").args([&format!("-{signal}"), &id]).status();
         assert!(status.is_ok_and(|status| status.success()), "no signal sent");
     }
 
